--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements with bounds; see docs/benchmarks.md."""
--- /dev/null
+++ b/src/hawthornmast/common/__init__.py
@@ -0,0 +1,17 @@
+"""Types shared by all slices: outcomes, ranks, instances and errors."""
+
+from hawthornmast.common.errors import StepError
+from hawthornmast.common.instances import Instance
+from hawthornmast.common.instances import State
+from hawthornmast.common.instances import Upstream
+from hawthornmast.common.outcomes import Outcome
+from hawthornmast.common.ranks import Rank
+
+__all__ = [
+    "Instance",
+    "Outcome",
+    "Rank",
+    "State",
+    "StepError",
+    "Upstream",
+]
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, upstreams and callers."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development commands: the test suite, the demonstration, the proofs."""
