--- /dev/null
+++ b/src/hawthornmast/peers/__init__.py
@@ -0,0 +1,15 @@
+"""Authenticated msgpack streams between the daemons of a fleet."""
+
+from hawthornmast.peers.codec import FrameError
+from hawthornmast.peers.codec import MAX_FRAME_BYTES
+from hawthornmast.peers.codec import MessageCodec
+from hawthornmast.peers.network import PeerNetwork
+from hawthornmast.peers.session import Session
+
+__all__ = [
+    "FrameError",
+    "MAX_FRAME_BYTES",
+    "MessageCodec",
+    "PeerNetwork",
+    "Session",
+]
--- /dev/null
+++ b/src/hawthornmast/peers/codec.py
@@ -0,0 +1,134 @@
+"""Frames and message encoding of the peer streams.
+
+A frame is a 4-byte big-endian length of what follows, a 16-byte truncated
+HMAC-SHA256 over the sequence number and the body, and the body. The body is
+msgpack of ``[message name, fields]``.
+"""
+
+import hashlib
+import hmac
+import struct
+from typing import Any
+
+import attrs
+from cattrs.preconf import msgpack as cattrs_msgpack
+import msgpack
+from result import Err
+from result import Ok
+from result import Result
+
+from hawthornmast.common import StepError
+from hawthornmast.peers import messages
+
+# The largest platform value is 1 MB; the rest is room for its envelope.
+MAX_FRAME_BYTES = 1_310_720
+MAC_BYTES = 16
+LENGTH = struct.Struct(">I")
+_SEQUENCE = struct.Struct(">Q")
+
+# Frames before authentication carry a hello and nothing else.
+MAX_HELLO_BYTES = 1024
+
+
+class FrameError(Exception):
+    """A frame that breaks the rules; the stream must be closed."""
+
+
+class MessageCodec:
+    """Encodes attrs classes by name.
+
+    Parameters
+    ----------
+    types
+        Message classes that may be received.
+    """
+
+    def __init__(self, *types: type) -> None:
+        self._converter = cattrs_msgpack.make_converter()
+        self._types: dict[str, type] = {}
+        for message_type in types:
+            self.register(message_type)
+
+    def register(self, message_type: type) -> None:
+        """Allow a message class; its name must be unique."""
+        if not attrs.has(message_type):
+            raise TypeError(f"{message_type!r} is not an attrs class")
+        name = message_type.__name__
+        known = self._types.setdefault(name, message_type)
+        if known is not message_type:
+            raise ValueError(f"message name {name!r} is already registered")
+
+    def encode(self, message: Any) -> bytes:
+        """Return the msgpack body of a message."""
+        return msgpack.packb(self._flatten(message), use_bin_type=True)
+
+    def _flatten(self, message: Any) -> Any:
+        if message is None:
+            return None
+        if isinstance(message, messages.Question | messages.Answer):
+            inner = self._flatten(message.body)
+            return [type(message).__name__, [message.number, inner]]
+        name = type(message).__name__
+        if name not in self._types:
+            raise ValueError(f"message type {name!r} is not registered")
+        return [name, self._converter.unstructure(message)]
+
+    def decode(self, body: bytes) -> Result[Any, StepError]:
+        """Return the message of a body that a peer sent."""
+        try:
+            tree = msgpack.unpackb(body, raw=False, strict_map_key=False)
+            return Ok(self._restore(tree))
+        except Exception as error:
+            # Any malformed input ends here: msgpack, cattrs and type errors
+            # share no narrower base class.
+            detail = f"{type(error).__name__}: {error}"[:200]
+            return Err(StepError(step="decode-frame", detail=detail))
+
+    def _restore(self, tree: Any, depth: int = 0) -> Any:
+        if tree is None and depth:
+            return None
+        name, fields = tree
+        if name in ("Question", "Answer") and depth == 0:
+            number, inner = fields
+            if not isinstance(number, int):
+                raise FrameError(f"number is {number!r}, allowed: int")
+            kind = getattr(messages, name)
+            return kind(number=number, body=self._restore(inner, 1))
+        if name not in self._types:
+            raise FrameError(f"message type is {name!r}, not registered")
+        return self._converter.structure(fields, self._types[name])
+
+
+def derive_key(secret: str, first: bytes, second: bytes) -> bytes:
+    """Return the key for frames from the side that sent ``first``."""
+    return hmac.digest(secret.encode(), b"frame" + first + second, "sha256")
+
+
+def identify_secret(secret: str) -> str:
+    """Return a short public name of a secret."""
+    digest = hashlib.sha256(b"hawthornmast-secret-id" + secret.encode())
+    return digest.hexdigest()[:12]
+
+
+def seal_frame(key: bytes, sequence: int, body: bytes) -> bytes:
+    """Return the frame of a body."""
+    size = len(body) + MAC_BYTES
+    if size > MAX_FRAME_BYTES:
+        raise FrameError(
+            f"frame has {size} bytes, allowed: {MAX_FRAME_BYTES} or fewer"
+        )
+    mac = _compute_mac(key, sequence, body)
+    return b"".join((LENGTH.pack(size), mac, body))
+
+
+def open_frame(key: bytes, sequence: int, content: bytes) -> bytes:
+    """Return the body of a frame's content, without its length."""
+    mac, body = content[:MAC_BYTES], content[MAC_BYTES:]
+    if not hmac.compare_digest(mac, _compute_mac(key, sequence, body)):
+        raise FrameError("frame is not signed with the session key")
+    return body
+
+
+def _compute_mac(key: bytes, sequence: int, body: bytes) -> bytes:
+    content = _SEQUENCE.pack(sequence) + body
+    return hmac.digest(key, content, "sha256")[:MAC_BYTES]
--- /dev/null
+++ b/src/hawthornmast/peers/session.py
@@ -0,0 +1,173 @@
+"""One authenticated stream to one peer."""
+
+import os
+from typing import Any
+
+import msgpack
+import trio
+
+from hawthornmast.peers import codec
+from hawthornmast.peers import messages
+
+_READ_BYTES = 65536
+
+
+class Session:
+    """A stream on which both sides proved that they hold the secret.
+
+    Each side signs with the key that both nonces and a shared secret give,
+    and numbers its frames, so that a frame can't be replayed, reordered or
+    reflected.
+
+    Parameters
+    ----------
+    stream
+        Connected stream.
+    message_codec
+        Codec with all message types that may arrive.
+    """
+
+    def __init__(
+        self, stream: trio.abc.Stream, message_codec: codec.MessageCodec
+    ) -> None:
+        self._stream = stream
+        self._codec = message_codec
+        self._buffer = bytearray()
+        self._send_key = b""
+        self._receive_key = b""
+        self._sent = 0
+        self._received = 0
+        self.peer_id = ""
+        self.peer_incarnation = 0
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    async def authenticate(
+        self,
+        *,
+        instance_id: str,
+        incarnation: int,
+        secrets: tuple[str, ...],
+        initiator: bool,
+    ) -> None:
+        """Exchange hellos and prove the secret to each other.
+
+        The initiator uses its first secret; the other side may hold it at
+        any place of its list, so that secrets change without a stop.
+
+        Raises
+        ------
+        FrameError
+            When the peer breaks the protocol or holds no common secret.
+        """
+        nonce = os.urandom(16)
+        by_id = {codec.identify_secret(secret): secret for secret in secrets}
+        if initiator:
+            secret_id = codec.identify_secret(secrets[0])
+            await self._send_hello(instance_id, incarnation, nonce, secret_id)
+            hello = await self._receive_hello()
+        else:
+            hello = await self._receive_hello()
+            secret_id = hello.secret_id
+            await self._send_hello(instance_id, incarnation, nonce, secret_id)
+        if hello.secret_id != secret_id or secret_id not in by_id:
+            raise codec.FrameError(
+                f"secret_id is {hello.secret_id!r}, not among the "
+                f"{len(secrets)} accepted"
+            )
+        secret = by_id[secret_id]
+        self._send_key = codec.derive_key(secret, nonce, hello.nonce)
+        self._receive_key = codec.derive_key(secret, hello.nonce, nonce)
+        self.peer_id = hello.instance_id
+        self.peer_incarnation = hello.incarnation
+        # Nothing of the peer is acted on before its first signed frame.
+        await self.send(messages.Heartbeat(incarnation=incarnation))
+        proof = await self.receive()
+        if (
+            not isinstance(proof, messages.Heartbeat)
+            or proof.incarnation != hello.incarnation
+        ):
+            raise codec.FrameError("first signed frame is not a heartbeat")
+
+    async def send(self, message: Any) -> None:
+        """Send one message."""
+        body = self._codec.encode(message)
+        frame = codec.seal_frame(self._send_key, self._sent, body)
+        self._sent += 1
+        await self._stream.send_all(frame)
+        self.bytes_sent += len(frame)
+
+    async def receive(self) -> Any:
+        """Return the next message.
+
+        Raises
+        ------
+        FrameError
+            When a frame is too long, truncated, wrongly signed or malformed.
+        trio.EndOfChannel
+            When the peer closed the stream between two frames.
+        """
+        content = await self._receive_content(codec.MAX_FRAME_BYTES)
+        body = codec.open_frame(self._receive_key, self._received, content)
+        self._received += 1
+        decoded = self._codec.decode(body)
+        if decoded.is_err():
+            raise codec.FrameError(str(decoded.unwrap_err()))
+        return decoded.unwrap()
+
+    async def close(self) -> None:
+        """Close the stream."""
+        with trio.move_on_after(0.1):
+            await self._stream.aclose()
+
+    async def _send_hello(
+        self, instance_id: str, incarnation: int, nonce: bytes, secret_id: str
+    ) -> None:
+        body = msgpack.packb([instance_id, incarnation, nonce, secret_id])
+        await self._stream.send_all(codec.LENGTH.pack(len(body)) + body)
+
+    async def _receive_hello(self) -> messages.Hello:
+        content = await self._receive_content(codec.MAX_HELLO_BYTES)
+        try:
+            instance_id, incarnation, nonce, secret_id = msgpack.unpackb(
+                content, raw=False
+            )
+        except Exception as error:
+            raise codec.FrameError(f"malformed hello: {error}") from error
+        values = (instance_id, incarnation, nonce, secret_id)
+        kinds = (str, int, bytes, str)
+        if any(
+            not isinstance(value, kind)
+            for value, kind in zip(values, kinds, strict=True)
+        ):
+            raise codec.FrameError("malformed hello: wrong field types")
+        if not instance_id or len(nonce) != 16:
+            raise codec.FrameError("malformed hello: empty id or short nonce")
+        return messages.Hello(
+            instance_id=instance_id,
+            incarnation=incarnation,
+            nonce=nonce,
+            secret_id=secret_id,
+        )
+
+    async def _receive_content(self, limit: int) -> bytes:
+        header = await self._read(codec.LENGTH.size, at_boundary=True)
+        (size,) = codec.LENGTH.unpack(header)
+        if not 0 < size <= limit:
+            raise codec.FrameError(
+                f"frame length is {size}, allowed: 1 to {limit}"
+            )
+        return await self._read(size, at_boundary=False)
+
+    async def _read(self, size: int, *, at_boundary: bool) -> bytes:
+        while len(self._buffer) < size:
+            data = await self._stream.receive_some(_READ_BYTES)
+            if not data:
+                if at_boundary and not self._buffer:
+                    raise trio.EndOfChannel
+                raise codec.FrameError("stream ended within a frame")
+            self.bytes_received += len(data)
+            self._buffer += data
+        content = bytes(self._buffer[:size])
+        del self._buffer[:size]
+        return content
