Add the peer network: dialing, heartbeats, questions and answers

Several streams to one peer may exist since both sides dial; the one heard last carries outgoing messages.

--- a/Makefile
+++ b/Makefile
@@ -22,8 +22,9 @@
 	$(BIN)/python -m tools.suite
 
 format: $(STAMP)
-	$(BIN)/ruff check --fix .
+	$(BIN)/ruff check --fix --exit-zero --quiet .
 	$(BIN)/ruff format .
+	$(BIN)/ruff check .
 
 proofs: $(STAMP)
 	$(BIN)/python -m tools.proofs
--- /dev/null
+++ b/src/hawthornmast/peers/network.py
@@ -0,0 +1,421 @@
+"""Streams of one daemon to its neighbours."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+import contextlib
+import inspect
+import itertools
+import logging
+import math
+import random
+from typing import Any
+
+import attrs
+from result import Err
+from result import Ok
+from result import Result
+import trio
+import trio.lowlevel
+
+from hawthornmast.audit import log_event
+from hawthornmast.common import Instance
+from hawthornmast.common import StepError
+from hawthornmast.peers import codec
+from hawthornmast.peers import messages
+from hawthornmast.peers.session import Session
+
+_LOG = logging.getLogger("hawthornmast.peers")
+
+Handler = Callable[[Any, str], Any | Awaitable[Any]]
+
+HEARTBEAT_S = 0.5
+SILENCE_S = 1.5
+"""Silence after which a peer counts as unreachable."""
+
+HANDSHAKE_S = 2.0
+QUEUE_MESSAGES = 512
+MAX_UNAUTHENTICATED = 64
+"""Inbound connections that may be in their handshake at the same time."""
+
+_BACKOFF_FIRST_S = 0.05
+_BACKOFF_LAST_S = 2.0
+_INBOUND_PER_PEER = 2
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Link:
+    """A live session with its queue of outgoing messages."""
+
+    session: Session
+    outbox: trio.MemorySendChannel[Any]
+    heard_at: float
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+
+
+class PeerNetwork:
+    """Keeps authenticated streams to a set of neighbours.
+
+    Both sides may dial. Of several streams to one peer the newest carries
+    outgoing messages; messages that arrive on any of them are handled.
+
+    Parameters
+    ----------
+    instance
+        This daemon; it listens on ``instance.host:instance.peer_port``.
+    incarnation
+        Random number of this process.
+    secrets
+        Shared secrets: the first is used to dial, all are accepted.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: Instance,
+        incarnation: int,
+        secrets: tuple[str, ...],
+    ) -> None:
+        if not secrets or not all(secrets):
+            raise ValueError("secrets is empty, allowed: one or more texts")
+        self._instance = instance
+        self._incarnation = incarnation
+        self._secrets = secrets
+        self._codec = codec.MessageCodec(messages.Heartbeat)
+        self._handlers: dict[type, Handler] = {}
+        self._links: dict[str, list[_Link]] = {}
+        self._neighbours: dict[str, Instance] = {}
+        self._dialers: dict[str, trio.CancelScope] = {}
+        self._answers: dict[int, tuple[str, trio.MemorySendChannel[Any]]] = {}
+        self._numbers = itertools.count(1)
+        self._unauthenticated = 0
+        self._nursery: trio.Nursery | None = None
+        self._listeners: list[trio.SocketListener] = []
+        self._listen_scope = trio.CancelScope()
+        self._watchers: list[Callable[[str, bool], None]] = []
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.refused_frames = 0
+
+    def register(self, message_type: type, handler: Handler | None) -> None:
+        """Accept a message type; ``handler(message, sender)`` gets it.
+
+        The handler may be async. What it returns answers a question. A type
+        that only occurs in answers has no handler.
+        """
+        self._codec.register(message_type)
+        if handler is not None:
+            self._handlers[message_type] = handler
+
+    def watch(self, callback: Callable[[str, bool], None]) -> None:
+        """Call ``callback(instance_id, reachable)`` on each change."""
+        self._watchers.append(callback)
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Listen for peers and dial the neighbours set so far."""
+        self._listeners = await trio.open_tcp_listeners(
+            self._instance.peer_port, host=self._instance.host
+        )
+        self._nursery = nursery
+        nursery.start_soon(trio.serve_listeners, self._accept, self._listeners)
+        self.set_neighbours(list(self._neighbours.values()))
+
+    async def _listen(self) -> None:
+        with self._listen_scope:
+            await trio.serve_listeners(self._accept, self._listeners)
+
+    async def close(self) -> None:
+        """Stop dialing and close all streams."""
+        self._listen_scope.cancel()
+        for scope in self._dialers.values():
+            scope.cancel()
+        for link in list(itertools.chain(*self._links.values())):
+            link.scope.cancel()
+        # Lets the cancelled tasks close their sockets.
+        await trio.lowlevel.checkpoint()
+
+    @property
+    def neighbours(self) -> list[str]:
+        """Identifiers of the peers that this daemon dials."""
+        return sorted(self._neighbours)
+
+    def set_neighbours(self, instances: Iterable[Instance]) -> None:
+        """Dial exactly these peers; leave streams that peers opened."""
+        wanted = {
+            instance.instance_id: instance
+            for instance in instances
+            if instance.instance_id != self._instance.instance_id
+        }
+        for peer_id, scope in list(self._dialers.items()):
+            if wanted.get(peer_id) != self._neighbours.get(peer_id):
+                scope.cancel()
+                del self._dialers[peer_id]
+        self._neighbours = wanted
+        if self._nursery is None:
+            return
+        for peer_id, instance in wanted.items():
+            if peer_id not in self._dialers:
+                scope = trio.CancelScope()
+                self._dialers[peer_id] = scope
+                self._nursery.start_soon(self._dial, instance, scope)
+
+    def reachable(self, instance_id: str) -> bool:
+        """Return whether the peer was heard within the silence limit."""
+        if instance_id == self._instance.instance_id:
+            return True
+        return self._choose_link(instance_id) is not None
+
+    def incarnation_of(self, instance_id: str) -> int | None:
+        """Return the incarnation of a connected peer."""
+        link = self._choose_link(instance_id)
+        return link.session.peer_incarnation if link else None
+
+    def post(self, instance_id: str, message: Any) -> bool:
+        """Queue a message; return False when it can't be sent."""
+        link = self._choose_link(instance_id)
+        if link is None:
+            return False
+        try:
+            link.outbox.send_nowait(message)
+        except (trio.WouldBlock, trio.BrokenResourceError):
+            return False
+        return True
+
+    async def ask(
+        self, instance_id: str, message: Any, timeout: float
+    ) -> Result[Any, StepError]:
+        """Send a question; wait up to ``timeout`` seconds for the answer."""
+        number = next(self._numbers)
+        sender, receiver = trio.open_memory_channel[Any](1)
+        self._answers[number] = (instance_id, sender)
+        try:
+            question = messages.Question(number=number, body=message)
+            if not self.post(instance_id, question):
+                return self._fail("ask-peer", "not connected", instance_id)
+            with trio.move_on_after(timeout):
+                return Ok(await receiver.receive())
+            return self._fail(
+                "ask-peer", f"no answer in {timeout} s", instance_id
+            )
+        finally:
+            del self._answers[number]
+
+    def _fail(self, step: str, detail: str, peer: str) -> Err[StepError]:
+        return Err(StepError(step=step, detail=detail, peer=peer))
+
+    def _choose_link(self, instance_id: str) -> _Link | None:
+        links = self._links.get(instance_id)
+        if not links:
+            return None
+        link = max(links, key=lambda candidate: candidate.heard_at)
+        if trio.current_time() - link.heard_at > SILENCE_S:
+            return None
+        return link
+
+    async def _dial(self, peer: Instance, scope: trio.CancelScope) -> None:
+        backoff = _BACKOFF_FIRST_S
+        with scope:
+            while True:
+                started = trio.current_time()
+                await self._dial_once(peer)
+                if trio.current_time() - started > SILENCE_S:
+                    backoff = _BACKOFF_FIRST_S
+                # Jitter keeps a fleet from dialing a restarted peer at once.
+                await trio.sleep(backoff * random.uniform(0.5, 1.5))
+                backoff = min(backoff * 2, _BACKOFF_LAST_S)
+
+    async def _dial_once(self, peer: Instance) -> None:
+        try:
+            with trio.fail_after(HANDSHAKE_S):
+                stream = await trio.open_tcp_stream(peer.host, peer.peer_port)
+        except (OSError, trio.TooSlowError):
+            return
+        await self._run(stream, expected=peer.instance_id)
+
+    async def _accept(self, stream: trio.SocketStream) -> None:
+        if self._unauthenticated >= MAX_UNAUTHENTICATED:
+            await trio.aclose_forcefully(stream)
+            return
+        await self._run(stream, expected=None)
+
+    async def _run(
+        self, stream: trio.SocketStream, *, expected: str | None
+    ) -> None:
+        """Authenticate a stream and serve it until it ends."""
+        session = Session(stream, self._codec)
+        try:
+            if not await self._authenticate(session, expected):
+                return
+            await self._serve(session)
+        except* codec.FrameError as group:
+            self.refused_frames += 1
+            log_event(
+                _LOG,
+                "peer-frame-refused",
+                level=logging.WARNING,
+                step="receive-frame",
+                peer=session.peer_id or expected or _name_remote(stream),
+                detail=_unwrap(group),
+            )
+        except* (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            trio.EndOfChannel,
+        ):
+            pass
+        finally:
+            with trio.CancelScope(shield=True):
+                await session.close()
+
+    async def _authenticate(
+        self, session: Session, expected: str | None
+    ) -> bool:
+        self._unauthenticated += 1
+        try:
+            with trio.move_on_after(HANDSHAKE_S) as scope:
+                await session.authenticate(
+                    instance_id=self._instance.instance_id,
+                    incarnation=self._incarnation,
+                    secrets=self._secrets,
+                    initiator=expected is not None,
+                )
+        finally:
+            self._unauthenticated -= 1
+        if scope.cancelled_caught:
+            return False
+        if expected is not None and session.peer_id != expected:
+            raise codec.FrameError(
+                f"peer is {session.peer_id!r}, expected {expected!r}"
+            )
+        return True
+
+    async def _serve(self, session: Session) -> None:
+        sender, receiver = trio.open_memory_channel[Any](QUEUE_MESSAGES)
+        link = _Link(
+            session=session, outbox=sender, heard_at=trio.current_time()
+        )
+        peer_id = session.peer_id
+        links = self._links.setdefault(peer_id, [])
+        while len(links) >= _INBOUND_PER_PEER:
+            links.pop(0).scope.cancel()
+        links.append(link)
+        if len(links) == 1:
+            self._notify(peer_id, True)
+        try:
+            with link.scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._send_all, link, receiver)
+                    nursery.start_soon(self._watch_silence, link)
+                    await self._receive_all(link)
+        finally:
+            self._remove_link(peer_id, link)
+            sender.close()
+
+    def _remove_link(self, peer_id: str, link: _Link) -> None:
+        self.bytes_sent += link.session.bytes_sent
+        self.bytes_received += link.session.bytes_received
+        link.session.bytes_sent = link.session.bytes_received = 0
+        links = self._links.get(peer_id, [])
+        if link in links:
+            links.remove(link)
+        if not links and self._links.pop(peer_id, None) is not None:
+            self._notify(peer_id, False)
+
+    def _notify(self, peer_id: str, reachable: bool) -> None:
+        for callback in self._watchers:
+            callback(peer_id, reachable)
+
+    async def _send_all(
+        self, link: _Link, receiver: trio.MemoryReceiveChannel[Any]
+    ) -> None:
+        beat = messages.Heartbeat(incarnation=self._incarnation)
+        while True:
+            message: Any = beat
+            with trio.move_on_after(HEARTBEAT_S):
+                message = await receiver.receive()
+            await link.session.send(message)
+
+    async def _watch_silence(self, link: _Link) -> None:
+        while True:
+            quiet = trio.current_time() - link.heard_at
+            if quiet > SILENCE_S:
+                link.scope.cancel()
+                return
+            await trio.sleep(SILENCE_S - quiet + 0.01)
+
+    async def _receive_all(self, link: _Link) -> None:
+        async with trio.open_nursery() as nursery:
+            with contextlib.suppress(trio.EndOfChannel):
+                while True:
+                    message = await link.session.receive()
+                    link.heard_at = trio.current_time()
+                    self._dispatch(link, message, nursery)
+            link.scope.cancel()
+
+    def _dispatch(
+        self, link: _Link, message: Any, nursery: trio.Nursery
+    ) -> None:
+        sender = link.session.peer_id
+        if isinstance(message, messages.Heartbeat):
+            return
+        if isinstance(message, messages.Question):
+            nursery.start_soon(self._answer, link, message)
+            return
+        if isinstance(message, messages.Answer):
+            waiting = self._answers.get(message.number)
+            if waiting is not None and waiting[0] == sender:
+                with contextlib.suppress(trio.WouldBlock):
+                    waiting[1].send_nowait(message.body)
+            return
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            return
+        result = handler(message, sender)
+        if inspect.isawaitable(result):
+            nursery.start_soon(_await, result)
+
+    async def _answer(self, link: _Link, question: messages.Question) -> None:
+        handler = self._handlers.get(type(question.body))
+        body = None
+        if handler is not None:
+            body = handler(question.body, link.session.peer_id)
+            if inspect.isawaitable(body):
+                body = await body
+        answer = messages.Answer(number=question.number, body=body)
+        with contextlib.suppress(trio.WouldBlock, trio.BrokenResourceError):
+            link.outbox.send_nowait(answer)
+
+    def count_bytes(self) -> tuple[int, int]:
+        """Return the bytes sent and received on all streams so far."""
+        links = list(itertools.chain(*self._links.values()))
+        sent = self.bytes_sent + sum(k.session.bytes_sent for k in links)
+        received = self.bytes_received + sum(
+            k.session.bytes_received for k in links
+        )
+        return sent, received
+
+    def silence_of(self, instance_id: str) -> float:
+        """Return the seconds since a peer was heard; infinite if never."""
+        links = self._links.get(instance_id)
+        if not links:
+            return math.inf
+        return trio.current_time() - max(link.heard_at for link in links)
+
+
+async def _await(awaitable: Awaitable[Any]) -> None:
+    await awaitable
+
+
+def _unwrap(error: BaseException) -> BaseException:
+    """Return the first exception inside nested groups."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
+def _name_remote(stream: trio.SocketStream) -> str:
+    try:
+        host, port = stream.socket.getpeername()[:2]
+    except OSError:
+        return "unknown"
+    return f"{host}:{port}"
--- /dev/null
+++ b/src/hawthornmast/peers/tests/test_network.py
@@ -0,0 +1,178 @@
+"""Tests of the streams between daemons, over loopback sockets."""
+
+import struct
+
+import attrs
+import pytest
+import trio
+import trio.testing
+
+from hawthornmast import common
+from hawthornmast import peers
+from hawthornmast.peers import messages
+
+
+@attrs.frozen(kw_only=True)
+class Note:
+    text: str
+    number: int | None = None
+    pairs: list[tuple[str, int]] = attrs.field(factory=list)
+
+
+async def _free_port():
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listeners[0].socket.getsockname()[1]
+    await listeners[0].aclose()
+    return port
+
+
+async def _make_instance(name):
+    return common.Instance(
+        instance_id=name,
+        zone="z1",
+        host="127.0.0.1",
+        port=1,
+        peer_port=await _free_port(),
+    )
+
+
+def _make_network(instance, secrets):
+    network = peers.PeerNetwork(
+        instance=instance, incarnation=7, secrets=secrets
+    )
+    received = []
+    network.register(
+        Note,
+        lambda note, sender: (
+            received.append((sender, note)) or Note(text="answer")
+        ),
+    )
+    return network, received
+
+
+async def _wait_until(condition):
+    with trio.fail_after(5):
+        while not condition():
+            await trio.sleep(0.01)
+
+
+class TestPeerNetwork:
+    async def test_post_and_ask(self, nursery):
+        a, b = await _make_instance("a"), await _make_instance("b")
+        network_a, _ = _make_network(a, ("s1",))
+        network_b, received = _make_network(b, ("s1",))
+        network_a.set_neighbours([b])
+        await network_b.start(nursery)
+        await network_a.start(nursery)
+        await _wait_until(lambda: network_a.reachable("b"))
+        note = Note(text="hello", pairs=[("x", 1)])
+        assert network_a.post("b", note)
+        answer = await network_a.ask("b", Note(text="question"), 2)
+        assert answer.unwrap() == Note(text="answer")
+        assert received[0] == ("a", note)
+        await network_a.close()
+        await network_b.close()
+        nursery.cancel_scope.cancel()
+
+    @pytest.mark.parametrize(
+        ("dialer", "listener", "works"),
+        [
+            (("new", "old"), ("old", "new"), True),
+            (("old",), ("new", "old"), True),
+            (("new",), ("old",), False),
+        ],
+    )
+    async def test_secret_rotation(self, nursery, dialer, listener, works):
+        # Guards against a fleet that splits while secrets are changed, and
+        # against a daemon that accepts an unknown secret.
+        a, b = await _make_instance("a"), await _make_instance("b")
+        network_a, _ = _make_network(a, dialer)
+        network_b, _ = _make_network(b, listener)
+        network_a.set_neighbours([b])
+        await network_b.start(nursery)
+        await network_a.start(nursery)
+        with trio.move_on_after(3 if works else 0.4):
+            await _wait_until(lambda: network_b.reachable("a"))
+        assert network_b.reachable("a") is works
+        nursery.cancel_scope.cancel()
+
+    async def test_peer_that_closes_is_unreachable(self, nursery):
+        a, b = await _make_instance("a"), await _make_instance("b")
+        network_a, _ = _make_network(a, ("s",))
+        network_b, _ = _make_network(b, ("s",))
+        changes = []
+        network_a.watch(lambda peer, up: changes.append((peer, up)))
+        network_a.set_neighbours([b])
+        await network_b.start(nursery)
+        await network_a.start(nursery)
+        await _wait_until(lambda: network_a.reachable("b"))
+        await network_b.close()
+        await _wait_until(lambda: not network_a.reachable("b"))
+        assert changes[:2] == [("b", True), ("b", False)]
+        assert not network_a.post("b", Note(text="lost"))
+        nursery.cancel_scope.cancel()
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"\x00\x00\x00\x00",
+            b"\xff\xff\xff\xff" + b"x" * 64,
+            struct.pack(">I", 5) + b"xxxxx",
+            b"GET / HTTP/1.1\r\n\r\n",
+        ],
+        ids=["empty", "too-long", "random", "http"],
+    )
+    async def test_bad_first_frame_is_refused(self, nursery, data):
+        # Guards against memory or tasks held for input that is no frame.
+        instance = await _make_instance("a")
+        network, _ = _make_network(instance, ("s",))
+        await network.start(nursery)
+        stream = await trio.open_tcp_stream("127.0.0.1", instance.peer_port)
+        await stream.send_all(data)
+        with trio.fail_after(3):
+            # A reset instead of an end is a close as well.
+            try:
+                assert await stream.receive_some(10) == b""
+            except trio.BrokenResourceError:
+                pass
+        await _wait_until(lambda: network.refused_frames == 1)
+        nursery.cancel_scope.cancel()
+
+
+class TestSession:
+    @pytest.mark.parametrize("change", ["flip", "replay"])
+    async def test_changed_frame_is_refused(self, nursery, change):
+        # Guards against altered and replayed frames.
+        codec = peers.MessageCodec(Note)
+        codec.register(messages.Heartbeat)
+        left, right = trio.testing.memory_stream_pair()
+        a, b = peers.Session(left, codec), peers.Session(right, codec)
+
+        async def join(session, name, initiator):
+            await session.authenticate(
+                instance_id=name,
+                incarnation=1,
+                secrets=("s",),
+                initiator=initiator,
+            )
+
+        async with trio.open_nursery() as inner:
+            inner.start_soon(join, a, "a", True)
+            inner.start_soon(join, b, "b", False)
+        frames = []
+        send_all = left.send_all
+
+        async def capture(data):
+            frames.append(data)
+
+        left.send_all = capture
+        await a.send(Note(text="x"))
+        frame = frames[0]
+        if change == "flip":
+            frame = frame[:-1] + bytes([frame[-1] ^ 1])
+            await send_all(frame)
+        else:
+            await send_all(frame + frame)
+            assert await b.receive() == Note(text="x")
+        with pytest.raises(peers.FrameError, match="not signed"):
+            await b.receive()
