--- /dev/null
+++ b/src/hawthornmast/http/__init__.py
@@ -0,0 +1,19 @@
+"""Small HTTP/1.1 server and client for control traffic, on h11."""
+
+from hawthornmast.http.client import Client
+from hawthornmast.http.client import fetch
+from hawthornmast.http.messages import json_response
+from hawthornmast.http.messages import Request
+from hawthornmast.http.messages import Response
+from hawthornmast.http.server import Handler
+from hawthornmast.http.server import serve_connection
+
+__all__ = [
+    "Client",
+    "Handler",
+    "Request",
+    "Response",
+    "fetch",
+    "json_response",
+    "serve_connection",
+]
