--- /dev/null
+++ b/tools/deployments.py
@@ -0,0 +1,76 @@
+"""The two deployments of the design page, with their sizes and work."""
+
+import attrs
+
+from hawthornmast.common import Rank
+
+
+@attrs.frozen(kw_only=True)
+class Work:
+    """One kind of request of a deployment's clients.
+
+    Parameters
+    ----------
+    service, method, path
+        Where the request goes.
+    rank
+        Priority class of its catalogue entry.
+    idempotent
+        Whether it may run more than once.
+    weight
+        Share of this kind among all requests, relative to the others.
+    """
+
+    service: str
+    method: str
+    path: str
+    rank: Rank
+    idempotent: bool = True
+    weight: float = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class Deployment:
+    """A fleet with its zones, services and work.
+
+    Parameters
+    ----------
+    name
+        Name of the folder under ``examples/``.
+    zones
+        Availability zones.
+    upstreams
+        Number of upstreams by service.
+    slots, connections
+        Limits of each upstream.
+    work
+        Kinds of requests that clients send.
+    """
+
+    name: str
+    zones: tuple[str, ...]
+    upstreams: dict[str, int]
+    slots: int
+    connections: int
+    work: tuple[Work, ...]
+
+
+BRAMBLEWICK = Deployment(
+    name="bramblewick",
+    zones=("amman-a", "amman-b", "amman-c"),
+    upstreams={"catalogue": 7, "subscriptions": 15, "billing": 12},
+    slots=4,
+    connections=400,
+    work=(),
+)
+
+FLEXWERK = Deployment(
+    name="flexwerk",
+    zones=("vienna-a", "vienna-b", "salzburg-a"),
+    upstreams={"metering": 6, "dispatch": 10, "settlement": 9},
+    slots=6,
+    connections=330,
+    work=(),
+)
+
+DEPLOYMENTS = (BRAMBLEWICK, FLEXWERK)
