--- /dev/null
+++ b/src/hawthornmast/catalogue/paths.py
@@ -0,0 +1,62 @@
+"""Request paths in the one form that every server reads the same way."""
+
+import re
+import urllib.parse
+
+from result import Err
+from result import Ok
+from result import Result
+
+# Paths of unreserved characters need no decoding. Segments that begin with
+# a dot take the slow way, which tells dot segments from names.
+_PLAIN = re.compile(r"(/[A-Za-z0-9_~-][A-Za-z0-9._~-]*)+/?")
+_FORBIDDEN = re.compile(r"[\x00-\x1f\x7f/\\;?#]|%[0-9A-Fa-f]{2}")
+_BAD_ESCAPE = re.compile(r"%(?![0-9A-Fa-f]{2})")
+
+
+def split_path(target: str) -> Result[tuple[str, ...], str]:
+    """Return the decoded segments of a request target without its query.
+
+    A target that servers may read in different ways is refused rather than
+    repaired, because the upstream receives it unchanged: dot segments, empty
+    segments, encoded slashes, backslashes, path parameters, control
+    characters, text that is escaped twice and invalid UTF-8.
+
+    Parameters
+    ----------
+    target
+        Target in origin form, such as ``/boxes/7?full=1``.
+
+    Returns
+    -------
+    result
+        The segments, or why the target is refused. A slash at the end adds
+        no segment.
+    """
+    path = target.partition("?")[0]
+    if _PLAIN.fullmatch(path):
+        return Ok(tuple(path.strip("/").split("/")))
+    if path == "/":
+        return Ok(())
+    if not path.startswith("/"):
+        return Err("path does not begin with a slash")
+    if _BAD_ESCAPE.search(path):
+        return Err("path has an incomplete percent escape")
+    segments = path[1:].removesuffix("/").split("/")
+    decoded = []
+    for segment in segments:
+        try:
+            text = urllib.parse.unquote(segment, errors="strict")
+        except UnicodeDecodeError:
+            return Err("path is not UTF-8")
+        if not text:
+            return Err("path has an empty segment")
+        if text in (".", ".."):
+            return Err("path has a dot segment")
+        if _FORBIDDEN.search(text):
+            return Err(
+                "path has a slash, backslash, semicolon, control character"
+                " or escape within a segment"
+            )
+        decoded.append(text)
+    return Ok(tuple(decoded))
