Add the strict settings of one process

Units, defaults and ranges are metadata of the attrs classes, as for the catalogue. Hosts are IP addresses because a process resolves no names, and secrets shorter than 16 characters are refused without being shown. Reading secrets from the environment was ruled out; settings are the only source.

--- /dev/null
+++ b/src/hawthornmast/settings/values.py
@@ -0,0 +1,197 @@
+"""Settings of one process, by table of the settings file."""
+
+import attrs
+
+from hawthornmast.catalogue import rules
+from hawthornmast.catalogue.tables import describe
+from hawthornmast.common import Instance
+
+_HOST = rules.Address()
+_ADMIN_HOST = rules.Address(unspecified=True)
+_MILLISECONDS = rules.Whole(low=1, high=600_000, unit="milliseconds")
+_GRACE = rules.Whole(low=0, high=600_000, unit="milliseconds")
+_RECORDS = rules.Whole(low=1, high=1_000_000, unit="records")
+
+
+@attrs.frozen(kw_only=True)
+class InstanceSettings:
+    """This process.
+
+    Parameters
+    ----------
+    id
+        Name that is unique in the fleet.
+    zone
+        Availability zone.
+    host
+        IP address on which clients and other daemons connect.
+    port
+        TCP port for clients.
+    peer_port
+        TCP port for other daemons.
+    admin_host
+        IP address of the administration API.
+    admin_port
+        TCP port of the administration API.
+    """
+
+    id: str = attrs.field(metadata=describe(rules.NAME))
+    zone: str = attrs.field(metadata=describe(rules.NAME))
+    host: str = attrs.field(metadata=describe(_HOST))
+    port: int = attrs.field(metadata=describe(rules.PORT))
+    peer_port: int = attrs.field(metadata=describe(rules.PORT))
+    admin_host: str = attrs.field(
+        default="127.0.0.1", metadata=describe(_ADMIN_HOST)
+    )
+    admin_port: int = attrs.field(default=9180, metadata=describe(rules.PORT))
+
+    def to_instance(self) -> Instance:
+        """Return this process as the platform publishes it."""
+        return Instance(
+            instance_id=self.id,
+            zone=self.zone,
+            host=self.host,
+            port=self.port,
+            peer_port=self.peer_port,
+        )
+
+
+@attrs.frozen(kw_only=True)
+class PlatformSettings:
+    """The configuration service.
+
+    Parameters
+    ----------
+    host
+        Its IP address.
+    port
+        Its TCP port.
+    """
+
+    host: str = attrs.field(metadata=describe(_HOST))
+    port: int = attrs.field(metadata=describe(rules.PORT))
+
+
+@attrs.frozen(kw_only=True)
+class PeerSettings:
+    """Streams between daemons.
+
+    Parameters
+    ----------
+    secrets
+        Shared secrets: the first signs, all are accepted.
+    """
+
+    secrets: tuple[str, ...] = attrs.field(
+        repr=False,
+        metadata=describe(
+            rules.Items(item=rules.Secret(), min_items=1, max_items=4)
+        ),
+    )
+
+
+@attrs.frozen(kw_only=True)
+class LimitSettings:
+    """Bounds on what one process holds and waits for.
+
+    Parameters
+    ----------
+    max_connections
+        Connections of clients at the same time.
+    max_header_bytes
+        Bytes of a request's line and headers.
+    max_body_bytes
+        Bytes of a request's body.
+    header_timeout_ms
+        Time from a request's first byte to the end of its headers.
+    body_timeout_ms
+        Time from the end of the headers to the end of the body.
+    idle_timeout_ms
+        Time that a client's connection may be idle.
+    drain_grace_ms
+        Least time that a leaving daemon continues to serve.
+    ticket_ttl_ms
+        Time that a ticket is valid and its first response is kept.
+    answer_buffer_bytes
+        Bytes of a response that are held before it is streamed.
+    max_tickets
+        Tickets that are valid at the same time.
+    audit_records
+        Automatic actions that are kept for explanations.
+    request_records
+        Requests that are kept for explanations.
+    """
+
+    max_connections: int = attrs.field(
+        default=10_000,
+        metadata=describe(
+            rules.Whole(low=1, high=1_000_000, unit="connections")
+        ),
+    )
+    max_header_bytes: int = attrs.field(
+        default=16_384,
+        metadata=describe(rules.Whole(low=1024, high=1_048_576, unit="bytes")),
+    )
+    max_body_bytes: int = attrs.field(
+        default=1_048_576,
+        metadata=describe(
+            rules.Whole(low=0, high=1_073_741_824, unit="bytes")
+        ),
+    )
+    header_timeout_ms: int = attrs.field(
+        default=10_000, metadata=describe(_MILLISECONDS)
+    )
+    body_timeout_ms: int = attrs.field(
+        default=30_000, metadata=describe(_MILLISECONDS)
+    )
+    idle_timeout_ms: int = attrs.field(
+        default=60_000, metadata=describe(_MILLISECONDS)
+    )
+    # Clients may use an address response for this long after it was sent.
+    drain_grace_ms: int = attrs.field(default=5000, metadata=describe(_GRACE))
+    ticket_ttl_ms: int = attrs.field(
+        default=60_000, metadata=describe(_MILLISECONDS)
+    )
+    answer_buffer_bytes: int = attrs.field(
+        default=65_536,
+        metadata=describe(rules.Whole(low=0, high=16_777_216, unit="bytes")),
+    )
+    max_tickets: int = attrs.field(
+        default=100_000,
+        metadata=describe(rules.Whole(low=1, high=10_000_000, unit="tickets")),
+    )
+    audit_records: int = attrs.field(
+        default=10_000, metadata=describe(_RECORDS)
+    )
+    request_records: int = attrs.field(
+        default=10_000, metadata=describe(_RECORDS)
+    )
+
+
+@attrs.frozen(kw_only=True)
+class LogSettings:
+    """Log lines on standard error.
+
+    Parameters
+    ----------
+    level
+        Least severity that is written.
+    """
+
+    level: str = attrs.field(
+        default="info",
+        metadata=describe(
+            rules.Choice(names=("debug", "info", "warning", "error"))
+        ),
+    )
+
+
+@attrs.frozen(kw_only=True)
+class Settings:
+    """All settings of one process; ``limits`` and ``log`` have defaults."""
+
+    instance: InstanceSettings
+    platform: PlatformSettings
+    peers: PeerSettings
+    limits: LimitSettings = attrs.field(factory=LimitSettings)
+    log: LogSettings = attrs.field(factory=LogSettings)
