Add the administration API, the request log and the metrics

The server takes plain callables, so it imports no other slice's state. A fault in a callable becomes a 500, since an explanation must not end the process and its requests in flight. Refusal reasons outside the known set share one label value, so that clients cannot create series. A lookup of an unknown request states how many requests are kept and for how long.

--- /dev/null
+++ b/src/hawthornmast/administration/__init__.py
@@ -0,0 +1,17 @@
+"""Read-only administration API, metrics and explanations."""
+
+from hawthornmast.administration.metrics import BadInput
+from hawthornmast.administration.metrics import Direction
+from hawthornmast.administration.metrics import Metrics
+from hawthornmast.administration.requests import RequestLog
+from hawthornmast.administration.requests import RequestRecord
+from hawthornmast.administration.server import AdministrationServer
+
+__all__ = [
+    "AdministrationServer",
+    "BadInput",
+    "Direction",
+    "Metrics",
+    "RequestLog",
+    "RequestRecord",
+]
--- /dev/null
+++ b/src/hawthornmast/administration/metrics.py
@@ -0,0 +1,222 @@
+"""Metrics of one process.
+
+Label values come from the catalogue or from closed sets, never from clients,
+so that clients cannot create series.
+"""
+
+import enum
+
+import prometheus_client
+from prometheus_client import CollectorRegistry
+
+from hawthornmast.catalogue import Entry
+from hawthornmast.catalogue import Service
+from hawthornmast.common import Outcome
+
+# Up to the longest deadline in the examples; finest about the latency target
+# of 2.5 ms.
+LATENCY_BUCKETS_S = (
+    0.0005,
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+)
+
+REFUSAL_REASONS = frozenset(
+    {
+        "ambiguous-path",
+        "closing",
+        "deadline",
+        "displaced",
+        "method",
+        "no-upstream",
+        "path",
+        "queue-full",
+        "service",
+        "shed",
+        "ticket-required",
+        "wrong-instance",
+    }
+)
+OTHER_REASON = "other"
+"""Stands for reasons outside ``REFUSAL_REASONS``."""
+
+
+class BadInput(enum.StrEnum):
+    """Kinds of input that is refused as malformed."""
+
+    REQUEST = "request"
+    RESPONSE = "response"
+    HEADER = "header"
+    TICKET = "ticket"
+    PEER_FRAME = "peer-frame"
+    PEER_AUTHENTICATION = "peer-authentication"
+    CONFIGURATION = "configuration"
+
+
+class Direction(enum.StrEnum):
+    """Direction of bytes to or from other daemons."""
+
+    SENT = "sent"
+    RECEIVED = "received"
+
+
+class Metrics:
+    """All metrics of one process in a registry of their own.
+
+    Parameters
+    ----------
+    registry
+        Where to register them; by default a new registry.
+    """
+
+    def __init__(self, registry: CollectorRegistry | None = None) -> None:
+        self.registry = registry or CollectorRegistry()
+        self._requests = prometheus_client.Counter(
+            "hawthornmast_requests_total",
+            "Requests by service, entry, rank and outcome",
+            ["service", "entry", "rank", "outcome"],
+            registry=self.registry,
+        )
+        self._refusals = prometheus_client.Counter(
+            "hawthornmast_refusals_total",
+            "Requests that were refused and not run, by reason",
+            ["service", "entry", "reason"],
+            registry=self.registry,
+        )
+        self._seconds = prometheus_client.Histogram(
+            "hawthornmast_request_seconds",
+            "Time from a request's arrival to the end of its response",
+            ["service", "entry"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._waits = prometheus_client.Histogram(
+            "hawthornmast_queue_seconds",
+            "Time that a request waited for a slot",
+            ["service", "entry"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._ejections = prometheus_client.Counter(
+            "hawthornmast_ejections_total",
+            "Upstreams that this daemon ejected",
+            ["service"],
+            registry=self.registry,
+        )
+        self._ejected = prometheus_client.Gauge(
+            "hawthornmast_ejected_upstreams",
+            "Upstreams that are ejected at present",
+            ["service"],
+            registry=self.registry,
+        )
+        self._bad_input = prometheus_client.Counter(
+            "hawthornmast_bad_input_total",
+            "Malformed input that was refused, by kind",
+            ["kind"],
+            registry=self.registry,
+        )
+        self._peers = prometheus_client.Gauge(
+            "hawthornmast_reachable_peers",
+            "Other daemons with a live stream",
+            registry=self.registry,
+        )
+        self._revision = prometheus_client.Gauge(
+            "hawthornmast_configuration_revision",
+            "Highest revision of the platform that is in effect",
+            registry=self.registry,
+        )
+        self._peer_bytes = prometheus_client.Counter(
+            "hawthornmast_peer_bytes_total",
+            "Bytes on streams to other daemons",
+            ["direction"],
+            registry=self.registry,
+        )
+
+    def count_request(
+        self,
+        service: Service,
+        entry: Entry,
+        *,
+        outcome: Outcome,
+        seconds: float,
+        queue_seconds: float | None = None,
+    ) -> None:
+        """Count a request that has ended.
+
+        Parameters
+        ----------
+        service, entry
+            What the request matched.
+        outcome
+            How it ended.
+        seconds
+            From its arrival to the end of the response.
+        queue_seconds
+            Its wait for a slot; None when it did not ask for one.
+        """
+        names = (service.name, entry.name)
+        self._requests.labels(*names, entry.rank.label, outcome.value).inc()
+        self._seconds.labels(*names).observe(seconds)
+        if queue_seconds is not None:
+            self._waits.labels(*names).observe(queue_seconds)
+
+    def count_refusal(
+        self,
+        reason: str,
+        *,
+        service: Service | None = None,
+        entry: Entry | None = None,
+    ) -> None:
+        """Count a refusal; a reason outside the known set is ``other``."""
+        self._refusals.labels(
+            service.name if service else "",
+            entry.name if entry else "",
+            reason if reason in REFUSAL_REASONS else OTHER_REASON,
+        ).inc()
+
+    def count_ejection(self, service: Service) -> None:
+        """Count an ejection by this daemon."""
+        self._ejections.labels(service.name).inc()
+
+    def set_ejected(self, service: Service, upstreams: int) -> None:
+        """Set the number of upstreams that are ejected at present."""
+        self._ejected.labels(service.name).set(upstreams)
+
+    def count_bad_input(self, kind: BadInput) -> None:
+        """Count malformed input."""
+        self._bad_input.labels(kind.value).inc()
+
+    def set_peers(self, reachable: int) -> None:
+        """Set the number of daemons with a live stream."""
+        self._peers.set(reachable)
+
+    def set_revision(self, revision: int) -> None:
+        """Set the highest revision in effect."""
+        self._revision.set(revision)
+
+    def count_peer_bytes(self, direction: Direction, amount: int) -> None:
+        """Add bytes sent to or received from other daemons."""
+        self._peer_bytes.labels(direction.value).inc(amount)
+
+    def forget_service(self, name: str) -> None:
+        """Drop the series of a service that this daemon no longer serves."""
+        for metric in (
+            self._requests,
+            self._refusals,
+            self._seconds,
+            self._waits,
+            self._ejections,
+            self._ejected,
+        ):
+            metric.remove_by_labels({"service": name})
--- /dev/null
+++ b/src/hawthornmast/administration/tests/test_server.py
@@ -0,0 +1,111 @@
+"""Tests of the administration API, over a loopback socket."""
+
+import pytest
+
+from hawthornmast import administration
+from hawthornmast import audit
+from hawthornmast import http
+from hawthornmast.common import Outcome
+
+
+def _build(**replaced):
+    trail = audit.AuditTrail(clock=lambda: 9.0)
+    trail.append(audit.Act.RETRY, service="s", entry="e", request_id="r/1")
+    trail.append(audit.Act.EJECT, service="s", peer="u1")
+    requests = administration.RequestLog(capacity=2, clock=lambda: 9.0)
+    requests.append(
+        administration.RequestRecord(
+            request_id="r/1", time=4.0, outcome=Outcome.COMPLETE, status=200
+        )
+    )
+    options = {
+        "status": lambda: {"instance": "a1"},
+        "explain_upstream": lambda s, u: {"u": u} if u == "u1" else None,
+        "explain_entry": lambda s, e: {"e": e} if e == "e" else None,
+        "requests": requests,
+        "trail": trail,
+        "registry": administration.Metrics().registry,
+    }
+    return administration.AdministrationServer(
+        "127.0.0.1", 0, **(options | replaced)
+    )
+
+
+async def _get(target, *, method="GET", **replaced):
+    return await _build(**replaced).handle(
+        http.Request(method=method, target=target)
+    )
+
+
+class TestHandle:
+    @pytest.mark.parametrize(
+        ("target", "key", "value", "acts"),
+        [
+            ("/v1/status", "instance", "a1", None),
+            ("/v1/explain/upstreams/s/u1", "upstream", {"u": "u1"}, 1),
+            ("/v1/explain/entries/s/e", "entry", {"e": "e"}, 1),
+        ],
+    )
+    async def test_facts(self, target, key, value, acts):
+        response = await _get(target)
+        assert response.status == 200
+        assert response.json()[key] == value
+        assert len(response.json().get("audit", [])) == (acts or 0)
+
+    async def test_request_is_explained(self):
+        # Guards against encoded identifiers taken for two segments.
+        answer = (await _get("/v1/explain/requests/r%2F1")).json()
+        assert answer["request"]["outcome"] == "complete"
+        assert [act["act"] for act in answer["audit"]] == ["retry"]
+
+    async def test_unknown_request_names_retention(self):
+        response = await _get("/v1/explain/requests/zz")
+        assert response.status == 404
+        assert "latest 2 requests" in response.json()["retention"]
+        assert response.json()["kept_s"] == 5.0
+
+    @pytest.mark.parametrize(
+        ("method", "target", "status"),
+        [
+            ("POST", "/v1/status", 405),
+            ("GET", "/v1/explain/upstreams/s/zz", 404),
+            ("GET", "/v1/explain/entries/s/zz", 404),
+            ("GET", "/v1/explain/requests/", 404),
+            ("GET", "/", 404),
+            ("GET", "/v1/audit?limit=0", 400),
+            ("GET", "/v1/audit?limit=1001", 400),
+            ("GET", "/v1/audit?owner=x", 400),
+            ("GET", "/v1/audit?service=s&limit=1", 200),
+        ],
+    )
+    async def test_status(self, method, target, status):
+        response = await _get(target, method=method)
+        assert response.status == status
+        assert ("error" in response.json()) == (status != 200)
+
+    async def test_audit_returns_the_latest(self):
+        records = (await _get("/v1/audit?limit=1")).json()["records"]
+        assert [record["act"] for record in records] == ["eject"]
+
+
+class TestAdministrationServer:
+    async def test_serves_until_closed(self, nursery):
+        server = _build()
+        await server.start(nursery)
+        done = await http.fetch("127.0.0.1", server.port, "GET", "/metrics")
+        assert b"hawthornmast_reachable_peers 0.0" in done.unwrap().body
+        port = server.port
+        await server.close()
+        done = await http.fetch("127.0.0.1", port, "GET", "/v1/status")
+        assert done.is_err()
+
+    async def test_fault_of_a_callable_is_contained(self, nursery):
+        # Guards against an administration request that ends the process.
+        server = _build(status=lambda: {}["missing"])
+        await server.start(nursery)
+        for _ in range(2):
+            done = await http.fetch(
+                "127.0.0.1", server.port, "GET", "/v1/status"
+            )
+            assert done.unwrap().status == 500
+        await server.close()
