--- /dev/null
+++ b/src/hawthornmast/cli/inspection.py
@@ -0,0 +1,152 @@
+"""Subcommands that read the administration API of a daemon."""
+
+import functools
+import json
+import urllib.parse
+
+from cleo.commands.command import Command
+from cleo.helpers import argument
+from cleo.helpers import option
+from result import Err
+from result import Ok
+from result import Result
+import trio
+
+from hawthornmast import http
+from hawthornmast.catalogue import rules
+from hawthornmast.catalogue.problems import find_nearest
+from hawthornmast.cli import output
+
+DEFAULT_ADMIN = "127.0.0.1:9180"
+_ADMIN = option(
+    "admin",
+    None,
+    "Administration address of the daemon (admin_host and admin_port of its"
+    " settings).",
+    flag=False,
+    default=DEFAULT_ADMIN,
+)
+
+TERMS: dict[str, tuple[str, tuple[str, ...]]] = {
+    "request": ("requests", ("ID",)),
+    "upstream": ("upstreams", ("SERVICE", "ID")),
+    "entry": ("entries", ("SERVICE", "NAME")),
+}
+"""Path and terms of each kind of explanation."""
+
+
+def parse_admin(text: str) -> Result[tuple[str, int], str]:
+    """Return the host and port of an address; IPv6 goes in brackets."""
+    host, _, port = text.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    if (
+        rules.Address().check(host).is_ok()
+        and port.isascii()
+        and port.isdigit()
+        and len(port) <= 5
+        and rules.PORT.check(int(port)).is_ok()
+    ):
+        return Ok((host, int(port)))
+    return Err(
+        f"--admin is {text!r}, allowed: IP address and port, such as"
+        f" {DEFAULT_ADMIN}"
+    )
+
+
+def _print_response(command: Command, path: str) -> int:
+    """Print the JSON at a path; return the exit status."""
+    parsed = parse_admin(command.option("admin"))
+    if isinstance(parsed, Err):
+        output.write_error(command, parsed.err_value)
+        return 1
+    host, port = parsed.ok_value
+    fetched = trio.run(functools.partial(http.fetch, host, port, "GET", path))
+    if isinstance(fetched, Err):
+        output.write_error(
+            command,
+            f"{fetched.err_value}; is --admin the administration address of"
+            " a running daemon?",
+        )
+        return 1
+    response = fetched.ok_value
+    try:
+        text = json.dumps(response.json(), indent=2)
+    except ValueError:
+        output.write_error(
+            command,
+            f"{host}:{port}: status {response.status} without JSON; is --admin"
+            " the administration address of a daemon?",
+        )
+        return 1
+    if response.status != 200:
+        output.write_error(command, text)
+        return 1
+    output.write_text(command, text)
+    return 0
+
+
+class StatusCommand(Command):
+    """Prints the state of a daemon."""
+
+    name = "status"
+    description = "Show a daemon's services, peers and configuration."
+    options = [_ADMIN]
+    help = """\
+Prints JSON. Exit status 1 means that the daemon could not be asked.
+
+  <info>hawthornmast status --admin 127.0.0.1:9180</info>
+"""
+
+    def handle(self) -> int:
+        """Fetch and print the status."""
+        return _print_response(self, "/v1/status")
+
+
+class ExplainCommand(Command):
+    """Prints why a daemon acted as it did."""
+
+    name = "explain"
+    description = (
+        "Explain what a daemon did with a request, upstream or entry."
+    )
+    arguments = [
+        argument("kind", "request, upstream or entry."),
+        argument("terms", "What to explain, see below.", multiple=True),
+    ]
+    options = [_ADMIN]
+    help = """\
+  <info>explain request ID</info>
+    Outcome, reason, upstreams tried and times of one request. The ID is in
+    the response header Hawthornmast-Request-Id.
+  <info>explain upstream SERVICE ID</info>
+    Whether the upstream is in use, and the evidence for it.
+  <info>explain entry SERVICE NAME</info>
+    The limits of a catalogue entry and what was refused under them.
+
+Each daemon explains only what it did itself, from the latest records in its
+memory. The output is JSON and names the catalogue's owners, limits and
+revision. Exit status 1 means that there is no such record or that the daemon
+could not be asked.
+"""
+
+    def handle(self) -> int:
+        """Fetch and print one explanation."""
+        kind = self.argument("kind")
+        terms = self.argument("terms")
+        if kind not in TERMS:
+            nearest = find_nearest(kind, list(TERMS))
+            hint = f" (nearest: {nearest})" if nearest else ""
+            output.write_error(
+                self, f"kind is {kind!r}, allowed: {', '.join(TERMS)}{hint}"
+            )
+            return 1
+        path, names = TERMS[kind]
+        if len(terms) != len(names):
+            output.write_error(
+                self,
+                f"explain {kind} received {len(terms)} terms, allowed:"
+                f" {' '.join(names)}",
+            )
+            return 1
+        quoted = [urllib.parse.quote(term, safe="") for term in terms]
+        return _print_response(self, f"/v1/explain/{path}/{'/'.join(quoted)}")
