Add tickets for non-idempotent work

A ticket is bound to one incarnation by a key that exists only in its memory, so neither a store nor a shared clock is needed. Used tickets are remembered until they expire; their responses count against a byte limit. A ticket is also bound to the request that used it first, so that another request never gets its response.

When too many used tickets are remembered, all unused ones become void. Dropping records instead would let a refused ticket run later.

--- /dev/null
+++ b/src/hawthornmast/forwarding/tickets.py
@@ -0,0 +1,231 @@
+"""Tickets that let non-idempotent work run at most once."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+import hashlib
+import hmac
+import secrets
+from typing import Any
+
+import attrs
+import trio
+
+from hawthornmast.common import Outcome
+
+
+@attrs.define(eq=False)
+class TicketRecord:
+    """A used ticket with the outcome of its only run.
+
+    Parameters
+    ----------
+    digest
+        Identifies the request that used the ticket first.
+    expires
+        Time of the daemon's clock after which the record may be dropped.
+    """
+
+    digest: bytes
+    expires: float
+    answer: Any = None
+    size: int = 0
+    done: trio.Event = attrs.field(factory=trio.Event)
+
+
+@attrs.frozen
+class FirstUse:
+    """The ticket was unused; the request may run once."""
+
+    record: TicketRecord
+
+
+@attrs.frozen
+class Repeat:
+    """The ticket was used before by the same request."""
+
+    record: TicketRecord
+
+
+@attrs.frozen(kw_only=True)
+class Rejected:
+    """The ticket does not allow the request to run."""
+
+    status: int
+    reason: str
+    outcome: Outcome
+    instance: str = ""
+
+
+Redemption = FirstUse | Repeat | Rejected
+
+
+class TicketBook:
+    """The tickets of one incarnation of a daemon.
+
+    Parameters
+    ----------
+    instance_id
+        Identifier of this daemon.
+    incarnation
+        Random 64-bit number of this run of the daemon.
+    lifetime_s
+        Seconds after which an unused ticket expires.
+    max_stored_bytes
+        Stored responses beyond it are dropped, the oldest first.
+    max_records
+        Used tickets remembered at once. When it is reached, all tickets
+        issued so far and not yet used become void.
+    clock
+        Monotonic time of this daemon.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        incarnation: int,
+        *,
+        lifetime_s: float = 60.0,
+        max_stored_bytes: int = 8_388_608,
+        max_records: int = 100_000,
+        clock: Callable[[], float] = trio.current_time,
+    ) -> None:
+        self.instance_id = instance_id
+        self.lifetime_s = lifetime_s
+        self._incarnation = f"{incarnation:016x}"
+        self._max_stored_bytes = max_stored_bytes
+        self._max_records = max_records
+        self._clock = clock
+        self._key = secrets.token_bytes(32)
+        self._next_serial = 1
+        self._void_below = 0
+        self._records: OrderedDict[int, TicketRecord] = OrderedDict()
+        self._stored: OrderedDict[int, TicketRecord] = OrderedDict()
+        self._stored_bytes = 0
+
+    @property
+    def stored_bytes(self) -> int:
+        """Bytes of the responses kept for repeats."""
+        return self._stored_bytes
+
+    def __len__(self) -> int:
+        """Return the number of used tickets remembered."""
+        return len(self._records)
+
+    def issue(self, service: str, count: int = 1) -> list[str]:
+        """Return unused tickets for a service."""
+        expires_ms = int((self._clock() + self.lifetime_s) * 1000)
+        tickets = []
+        for _ in range(count):
+            signed = (
+                f"{self._incarnation}.{self._next_serial:x}.{expires_ms:x}"
+            )
+            self._next_serial += 1
+            mac = self._sign(signed, service)
+            tickets.append(f"{signed}.{mac}.{self.instance_id}")
+        return tickets
+
+    def redeem(self, ticket: str, service: str, digest: bytes) -> Redemption:
+        """Use a ticket for the request that ``digest`` identifies."""
+        now = self._clock()
+        self._drop_expired(now)
+        parts = ticket.split(".", 4)
+        if len(parts) != 5:
+            return Rejected(
+                status=400, reason="bad-ticket", outcome=Outcome.NOT_RUN
+            )
+        incarnation, serial_text, expires_text, mac, instance = parts
+        if instance != self.instance_id:
+            return Rejected(
+                status=421,
+                reason="wrong-instance",
+                outcome=Outcome.NOT_RUN,
+                instance=instance,
+            )
+        if incarnation != self._incarnation:
+            return Rejected(
+                status=409,
+                reason="former-incarnation",
+                outcome=Outcome.UNKNOWN,
+            )
+        signed = f"{incarnation}.{serial_text}.{expires_text}"
+        expected = self._sign(signed, service)
+        if not hmac.compare_digest(mac.encode(), expected.encode()):
+            return Rejected(
+                status=400, reason="bad-ticket", outcome=Outcome.NOT_RUN
+            )
+        # Both numbers are this book's own once the signature is right.
+        serial = int(serial_text, 16)
+        expires = int(expires_text, 16) / 1000
+        record = self._records.get(serial)
+        if record is not None:
+            if record.digest != digest:
+                return Rejected(
+                    status=409,
+                    reason="ticket-of-another-request",
+                    outcome=Outcome.NOT_RUN,
+                )
+            return Repeat(record)
+        if now >= expires:
+            return Rejected(
+                status=409, reason="ticket-expired", outcome=Outcome.UNKNOWN
+            )
+        if len(self._records) >= self._max_records:
+            # A refused ticket must not run later, when its client was told
+            # that it did not run; no room is left to remember single ones.
+            self._void_below = self._next_serial
+        if serial < self._void_below:
+            return Rejected(
+                status=503, reason="ticket-void", outcome=Outcome.NOT_RUN
+            )
+        record = TicketRecord(digest, expires)
+        self._records[serial] = record
+        return FirstUse(record)
+
+    def is_foreign(self, ticket: str) -> bool:
+        """Return whether the ticket names another daemon."""
+        parts = ticket.split(".", 4)
+        return len(parts) == 5 and parts[4] != self.instance_id
+
+    def settle(
+        self, record: TicketRecord, answer: Any = None, *, size: int = 0
+    ) -> None:
+        """Keep the outcome of a ticket's run and wake those who wait.
+
+        Parameters
+        ----------
+        answer
+            What a repeat receives; None when it is not kept.
+        size
+            Bytes that the answer counts against the limit.
+        """
+        if record.done.is_set():
+            return
+        record.done.set()
+        if answer is None or size > self._max_stored_bytes:
+            return
+        record.answer, record.size = answer, size
+        self._stored[id(record)] = record
+        self._stored_bytes += size
+        while self._stored_bytes > self._max_stored_bytes:
+            _, oldest = self._stored.popitem(last=False)
+            self._forget_answer(oldest)
+
+    def _forget_answer(self, record: TicketRecord) -> None:
+        self._stored_bytes -= record.size
+        record.answer, record.size = None, 0
+
+    def _drop_expired(self, now: float) -> None:
+        # Tickets are used in nearly the order in which they expire, so the
+        # scan from the oldest record stops early; a record that is dropped
+        # late only delays the release of its memory.
+        while self._records:
+            serial, record = next(iter(self._records.items()))
+            if now < record.expires or not record.done.is_set():
+                return
+            del self._records[serial]
+            if self._stored.pop(id(record), None) is not None:
+                self._forget_answer(record)
+
+    def _sign(self, signed: str, service: str) -> str:
+        text = f"{signed}.{service}".encode()
+        return hmac.new(self._key, text, hashlib.sha256).hexdigest()[:32]
