--- /dev/null
+++ b/src/hawthornmast/forwarding/__init__.py
@@ -0,0 +1,19 @@
+"""HTTP/1.1 on both sides: clients, upstreams, tickets and outcomes."""
+
+from hawthornmast.forwarding.connection import ClientLimits
+from hawthornmast.forwarding.runtime import RequestReport
+from hawthornmast.forwarding.runtime import ServiceDirectory
+from hawthornmast.forwarding.runtime import ServiceRuntime
+from hawthornmast.forwarding.server import ClientServer
+from hawthornmast.forwarding.tickets import TicketBook
+from hawthornmast.forwarding.upstream import UpstreamClient
+
+__all__ = [
+    "ClientLimits",
+    "ClientServer",
+    "RequestReport",
+    "ServiceDirectory",
+    "ServiceRuntime",
+    "TicketBook",
+    "UpstreamClient",
+]
--- /dev/null
+++ b/src/hawthornmast/forwarding/connection.py
@@ -0,0 +1,466 @@
+"""One connection of a client."""
+
+from typing import Protocol
+
+import attrs
+import h11
+import trio
+
+from hawthornmast.forwarding import pages
+from hawthornmast.forwarding import relay
+from hawthornmast.forwarding.forwarder import Deliver
+from hawthornmast.forwarding.forwarder import Forwarder
+from hawthornmast.forwarding.headers import RawHeaders
+from hawthornmast.forwarding.matching import normalize_path
+from hawthornmast.forwarding.messages import Answer
+from hawthornmast.forwarding.messages import ClientRequest
+from hawthornmast.forwarding.messages import refuse
+from hawthornmast.forwarding.messages import Trace
+from hawthornmast.forwarding.upstream import Exchange
+
+_READ_BYTES = 16_384
+_NO_BODY = frozenset({204, 304})
+_LINGER_S = 0.5
+_LINGER_BYTES = 1_048_576
+
+
+@attrs.frozen(kw_only=True)
+class ClientLimits:
+    """Limits on what clients may send.
+
+    Parameters
+    ----------
+    connections
+        Connections at once.
+    header_bytes, header_count
+        Size of a request's head.
+    body_bytes
+        Size of a request's body, which is held in memory.
+    idle_s, header_s, body_s, write_s
+        Seconds to begin a request, to complete its head, to complete its
+        body, and to take an answer.
+    """
+
+    connections: int = 2000
+    header_bytes: int = 16_384
+    header_count: int = 100
+    body_bytes: int = 1_048_576
+    idle_s: float = 60.0
+    header_s: float = 5.0
+    body_s: float = 10.0
+    write_s: float = 10.0
+
+
+class Host(Protocol):
+    """What a connection needs of its server."""
+
+    limits: ClientLimits
+    forwarder: Forwarder
+    mark: relay.RelayMark
+    closing: bool
+
+    def new_request_id(self) -> str:
+        """Return an identifier that is unique in the fleet."""
+
+    def answer_page(self, request: ClientRequest) -> Answer:
+        """Answer a request for the fleet's own pages."""
+
+    def count_bad_input(self, kind: str) -> None:
+        """Count a refused input by its kind."""
+
+    def report(
+        self, request: ClientRequest, trace: Trace, answer: Answer
+    ) -> None:
+        """Report a finished request."""
+
+    def watch(self, connection: "ClientConnection") -> None:
+        """Cancel the connection's request when its client leaves."""
+
+    def unwatch(self, connection: "ClientConnection") -> None:
+        """Stop watching a connection."""
+
+
+class BadInputError(Exception):
+    """Input that is refused; ``kind`` names it in the counters."""
+
+    def __init__(self, status: int, kind: str, detail: str = "") -> None:
+        super().__init__(detail)
+        self.status = status
+        self.kind = kind
+
+
+class ClientConnection:
+    """Serves the requests of one connection, one after the other."""
+
+    def __init__(
+        self, host: Host, sock: trio.socket.SocketType, client: str
+    ) -> None:
+        self.sock = sock
+        self.idle = True
+        self.reading = trio.CancelScope()
+        self.running = trio.CancelScope()
+        self.trace = Trace()
+        self._host = host
+        self._limits = host.limits
+        self._client = client
+        self._connection = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=host.limits.header_bytes
+        )
+
+    async def serve(self) -> None:
+        """Serve until the connection ends, and close it."""
+        try:
+            while await self._serve_one():
+                self._connection.start_next_cycle()
+        except (OSError, trio.ClosedResourceError):
+            pass
+        finally:
+            self.sock.close()
+
+    async def _serve_one(self) -> bool:
+        request: ClientRequest | None = None
+        bad: BadInputError | None = None
+        self.reading = trio.CancelScope(
+            deadline=trio.current_time() + self._limits.idle_s
+        )
+        self.idle = not self._connection.trailing_data[0]
+        step = "header"
+        try:
+            with self.reading:
+                head = await self._read_head()
+                if head is None:
+                    return False
+                step = "body"
+                request = self._parse(head)
+                refused = self._check_early(request)
+                if refused is None:
+                    await self._read_body(request)
+        except BadInputError as error:
+            bad = error
+        except h11.RemoteProtocolError as error:
+            status = error.error_status_hint
+            kind = "header-too-long" if status == 431 else "protocol"
+            bad = BadInputError(status, kind, str(error))
+        if self.reading.cancelled_caught:
+            if self.idle:
+                return False
+            bad = BadInputError(408, f"slow-{step}")
+        if bad is not None:
+            await self._refuse_input(bad, request)
+            return False
+        assert request is not None
+        return await self._answer(request, refused)
+
+    async def _read_head(self) -> h11.Request | None:
+        connection = self._connection
+        while True:
+            self._check_lines(connection.trailing_data[0])
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                data = await self.sock.recv(_READ_BYTES)
+                if data and self.idle:
+                    self.idle = False
+                    self.reading.deadline = (
+                        trio.current_time() + self._limits.header_s
+                    )
+                connection.receive_data(data)
+            elif type(event) is h11.Request:
+                self.idle = False
+                return event
+            else:
+                return None
+
+    @staticmethod
+    def _check_lines(raw: bytes) -> None:
+        """Refuse folded headers and bare line feeds, which h11 accepts.
+
+        Servers disagree about both, which allows requests to be smuggled.
+        """
+        end = raw.find(b"\r\n\r\n")
+        if end < 0:
+            end = len(raw)
+        if raw.find(b"\n ", 0, end) >= 0 or raw.find(b"\n\t", 0, end) >= 0:
+            raise BadInputError(400, "folded-header")
+        if raw.count(b"\n", 0, end) != raw.count(b"\r\n", 0, end):
+            raise BadInputError(400, "bare-line-feed")
+
+    def _parse(self, head: h11.Request) -> ClientRequest:
+        method = head.method.decode("ascii")
+        target = head.target.decode("ascii")
+        headers: RawHeaders = list(head.headers)
+        if len(headers) > self._limits.header_count:
+            raise BadInputError(431, "too-many-headers")
+        if sum(len(k) + len(v) for k, v in headers) + len(target) > (
+            self._limits.header_bytes
+        ):
+            raise BadInputError(431, "header-too-long")
+        found: dict[bytes, bytes] = {}
+        for name, value in headers:
+            if name in _SINGLE:
+                if name in found:
+                    raise BadInputError(400, "repeated-header", name.decode())
+                found[name] = value
+        length = found.get(b"content-length")
+        coding = found.get(b"transfer-encoding")
+        if coding is not None:
+            if length is not None:
+                raise BadInputError(400, "two-body-lengths")
+            if head.http_version < b"1.1":
+                raise BadInputError(400, "chunked-in-1.0")
+        if method == "CONNECT":
+            raise BadInputError(501, "connect")
+        if b"upgrade" in found:
+            raise BadInputError(501, "upgrade")
+        if length is not None and int(length) > self._limits.body_bytes:
+            raise BadInputError(413, "body-too-long")
+        authority = found.get(b"host", b"").decode("latin-1")
+        if target[:7].lower() == "http://":
+            authority, slash, rest = target[7:].partition("/")
+            target = slash + rest if slash else "/"
+        service = authority.partition(":")[0].lower()
+        if not service:
+            raise BadInputError(400, "no-host")
+        path = normalize_path(target)
+        if path.is_err():
+            raise BadInputError(400, "bad-target", path.unwrap_err())
+        request = ClientRequest(
+            request_id="",
+            method=method,
+            target=target,
+            path=path.unwrap(),
+            service=service,
+            headers=headers,
+            framed=length is not None or coding is not None,
+            old=head.http_version < b"1.1",
+            timeout_s=_parse_timeout(found),
+            ticket=_parse_ticket(found),
+            client=self._client,
+            arrived=trio.current_time(),
+        )
+        relayed = found.get(relay.HEADER)
+        if relayed is not None:
+            if self._host.mark.check(relayed, method, target):
+                request.relayed = True
+                request.request_id = relayed.partition(b".")[0].decode()
+            else:
+                # An ordinary client sent it; the header is dropped.
+                self._host.count_bad_input("forged-relay")
+        if not request.request_id:
+            request.request_id = self._host.new_request_id()
+        return request
+
+    def _check_early(self, request: ClientRequest) -> Answer | None:
+        if request.target.startswith(pages.ROOT):
+            return None
+        return self._host.forwarder.check(request)
+
+    async def _read_body(self, request: ClientRequest) -> None:
+        connection = self._connection
+        self.reading.deadline = request.arrived + self._limits.body_s
+        if connection.they_are_waiting_for_100_continue:
+            await self._send(
+                h11.InformationalResponse(status_code=100, headers=[])
+            )
+        body = bytearray()
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                data = await self.sock.recv(65_536)
+                connection.receive_data(data)
+            elif type(event) is h11.Data:
+                body += event.data
+                if len(body) > self._limits.body_bytes:
+                    raise BadInputError(413, "body-too-long")
+            elif type(event) is h11.EndOfMessage:
+                break
+            else:
+                raise BadInputError(400, "cut-body")
+        request.body = bytes(body)
+
+    async def _answer(
+        self, request: ClientRequest, refused: Answer | None
+    ) -> bool:
+        """Run and answer a request; return whether another may follow."""
+        host = self._host
+        trace = self.trace = Trace()
+        if refused is not None:
+            answer = refused
+        elif request.target.startswith(pages.ROOT):
+            answer = host.answer_page(request)
+        else:
+            self.running = trio.CancelScope()
+            host.watch(self)
+            try:
+                answer = await host.forwarder.run(
+                    request, trace, self.running, self._make_deliver(request)
+                )
+            finally:
+                host.unwatch(self)
+        host.report(request, trace, answer)
+        if (
+            trace.left
+            or answer.cut
+            or self._connection.our_state is not h11.SEND_RESPONSE
+        ):
+            return (
+                answer.sent
+                and not answer.cut
+                and not trace.left
+                and self._is_reusable()
+            )
+        if not await self._write(request, answer):
+            return False
+        if self._connection.their_state is not h11.DONE:
+            # The body was not read; the answer must not be lost to a reset.
+            await self._linger()
+            return False
+        return self._is_reusable()
+
+    def _is_reusable(self) -> bool:
+        connection = self._connection
+        return (
+            connection.our_state is h11.DONE
+            and connection.their_state is h11.DONE
+        )
+
+    async def _write(self, request: ClientRequest, answer: Answer) -> bool:
+        connection = self._connection
+        headers = answer.head(request.request_id)
+        with_body = request.method != "HEAD"
+        if answer.status not in _NO_BODY:
+            length = b"%d" % len(answer.body)
+            if not with_body:
+                length = answer.length or length
+            headers.append((b"content-length", length))
+        self._add_close(headers)
+        data = connection.send(
+            h11.Response(status_code=answer.status, headers=headers)
+        )
+        assert data is not None
+        if with_body and answer.body and answer.status not in _NO_BODY:
+            data += connection.send(h11.Data(data=answer.body)) or b""
+        data += connection.send(h11.EndOfMessage()) or b""
+        return await self._send_bytes(data)
+
+    def _add_close(self, headers: RawHeaders) -> None:
+        if self._host.closing or (
+            self._connection.their_state is not h11.DONE
+        ):
+            headers.append((b"connection", b"close"))
+
+    def _make_deliver(self, request: ClientRequest) -> Deliver:
+        async def deliver(answer: Answer, exchange: Exchange) -> bool:
+            connection = self._connection
+            headers = answer.head(request.request_id)
+            if answer.length is not None:
+                headers.append((b"content-length", answer.length))
+            self._add_close(headers)
+            event: h11.Event = h11.Response(
+                status_code=answer.status, headers=headers
+            )
+            data = connection.send(event) or b""
+            part = answer.body
+            while part:
+                data += connection.send(h11.Data(data=part)) or b""
+                if not await self._send_bytes(data):
+                    self.trace.left = True
+                    return False
+                data = b""
+                try:
+                    part = await exchange.read()
+                except (OSError, h11.RemoteProtocolError):
+                    return False
+            data = connection.send(h11.EndOfMessage()) or b""
+            return not data or await self._send_bytes(data)
+
+        return deliver
+
+    async def _refuse_input(
+        self, bad: BadInputError, request: ClientRequest | None
+    ) -> None:
+        self._host.count_bad_input(bad.kind)
+        if self._connection.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            return
+        request_id = request.request_id if request else ""
+        answer = refuse(bad.status, bad.kind, detail=str(bad))
+        headers = answer.head(request_id or self._host.new_request_id())
+        headers.append((b"content-length", b"%d" % len(answer.body)))
+        headers.append((b"connection", b"close"))
+        data = self._connection.send(
+            h11.Response(
+                status_code=answer.status, headers=headers, reason=b""
+            )
+        )
+        assert data is not None
+        if request is None or request.method != "HEAD":
+            data += self._connection.send(h11.Data(data=answer.body)) or b""
+        if await self._send_bytes(data):
+            await self._linger()
+
+    async def _send(self, event: h11.Event) -> None:
+        data = self._connection.send(event)
+        if data:
+            await self._send_bytes(data)
+
+    async def _send_bytes(self, data: bytes) -> bool:
+        """Send all bytes; return False when the client does not take them."""
+        with trio.move_on_after(self._limits.write_s):
+            try:
+                sent = await self.sock.send(data)
+                while sent < len(data):
+                    sent += await self.sock.send(data[sent:])
+            except OSError:
+                return False
+            return True
+        return False
+
+    async def _linger(self) -> None:
+        """Read what the client still sends, so that it gets the answer.
+
+        Closing a socket with unread data resets the connection, and the
+        client may lose an answer that it has not read yet.
+        """
+        with trio.move_on_after(_LINGER_S):
+            try:
+                self.sock.shutdown(trio.socket.SHUT_WR)
+                taken = 0
+                while taken < _LINGER_BYTES:
+                    data = await self.sock.recv(65_536)
+                    if not data:
+                        return
+                    taken += len(data)
+            except OSError:
+                return
+
+
+_SINGLE = frozenset(
+    {
+        b"content-length",
+        b"transfer-encoding",
+        b"host",
+        b"upgrade",
+        b"hawthornmast-ticket",
+        b"hawthornmast-timeout-ms",
+        relay.HEADER,
+    }
+)
+
+
+def _parse_timeout(found: dict[bytes, bytes]) -> float | None:
+    value = found.get(b"hawthornmast-timeout-ms")
+    if value is None:
+        return None
+    if not value.isdigit() or len(value) > 7 or int(value) == 0:
+        raise BadInputError(
+            400, "bad-timeout", "allowed are 1 to 9999999 milliseconds"
+        )
+    return int(value) / 1000
+
+
+def _parse_ticket(found: dict[bytes, bytes]) -> str | None:
+    value = found.get(b"hawthornmast-ticket")
+    if value is None:
+        return None
+    if len(value) > 256 or not value.isascii():
+        raise BadInputError(400, "bad-ticket")
+    return value.decode("ascii")
--- /dev/null
+++ b/src/hawthornmast/forwarding/forwarder.py
@@ -0,0 +1,565 @@
+"""Runs a client's request on upstreams and decides its outcome."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import hashlib
+import random
+
+import attrs
+import h11
+from result import Err
+import trio
+
+from hawthornmast.catalogue import Entry
+from hawthornmast.common import Instance
+from hawthornmast.common import Outcome
+from hawthornmast.common import StepError
+from hawthornmast.common import Upstream
+from hawthornmast.forwarding import relay
+from hawthornmast.forwarding.headers import filter_headers
+from hawthornmast.forwarding.headers import RawHeaders
+from hawthornmast.forwarding.matching import find_entry
+from hawthornmast.forwarding.messages import Answer
+from hawthornmast.forwarding.messages import ClientRequest
+from hawthornmast.forwarding.messages import refuse
+from hawthornmast.forwarding.messages import Trace
+from hawthornmast.forwarding.runtime import ServiceDirectory
+from hawthornmast.forwarding.runtime import ServiceRuntime
+from hawthornmast.forwarding.tickets import FirstUse
+from hawthornmast.forwarding.tickets import Rejected
+from hawthornmast.forwarding.tickets import TicketBook
+from hawthornmast.forwarding.tickets import TicketRecord
+from hawthornmast.forwarding.upstream import Exchange
+from hawthornmast.forwarding.upstream import Progress
+from hawthornmast.forwarding.upstream import UpstreamClient
+from hawthornmast.health import Evidence
+
+BUFFER_BYTES = 65_536
+# An HTTP/1.0 client cannot tell a cut body from a whole one, so its answers
+# are read whole, up to this length.
+OLD_BUFFER_BYTES = 1_048_576
+MAX_ATTEMPTS = 4
+RELAY_S = 5.0
+# A timeout counts as a failure of the upstream only after it had the request
+# for this part of the entry's deadline; clients may ask for short timeouts.
+_FAIR_PART = 0.5
+
+Deliver = Callable[[Answer, Exchange], Awaitable[bool]]
+
+
+@attrs.define(eq=False)
+class _Attempts:
+    """The attempts of one request so far."""
+
+    deadline: float
+    exclude: set[str] = attrs.Factory(set)
+    count: int = 0
+    last: Answer | None = None
+
+
+class Forwarder:
+    """Runs requests on upstreams.
+
+    Parameters
+    ----------
+    directory
+        Services of this daemon.
+    upstreams
+        Connections to upstreams.
+    tickets
+        Tickets of this incarnation.
+    mark
+        Signs relayed requests; without secrets nothing is relayed.
+    clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        directory: ServiceDirectory,
+        upstreams: UpstreamClient,
+        tickets: TicketBook,
+        *,
+        mark: relay.RelayMark,
+        clock: Callable[[], float] = trio.current_time,
+    ) -> None:
+        self._directory = directory
+        self._upstreams = upstreams
+        self._tickets = tickets
+        self._mark = mark
+        self._clock = clock
+
+    def check(self, request: ClientRequest) -> Answer | None:
+        """Return the refusal of a request that needs no body to decide.
+
+        A ticket that this daemon issued is looked up with the body first,
+        because its request may have run under an earlier configuration.
+        """
+        if request.ticket is None:
+            return self._check_catalogue(request)
+        if self._tickets.is_foreign(request.ticket):
+            used = self._tickets.redeem(request.ticket, request.service, b"")
+            assert isinstance(used, Rejected)
+            return self._reject(used, request.service)
+        return None
+
+    def _check_catalogue(self, request: ClientRequest) -> Answer | None:
+        runtime = self._directory.runtime(request.service)
+        if runtime is None:
+            owners = self._directory.owners(request.service)
+            if owners is None:
+                return refuse(404, "no-service", detail=request.service)
+            if request.ticket or request.relayed or not self._mark:
+                return wrong_instance(owners)
+            return None
+        found = find_entry(runtime.service, request.method, request.path)
+        if isinstance(found, Err):
+            allowed = found.err_value
+            if not allowed:
+                return refuse(404, "no-entry", detail=request.path)
+            value = ", ".join(allowed).encode()
+            return refuse(405, "method", headers=[(b"allow", value)])
+        if not found.ok_value.idempotent and request.ticket is None:
+            return refuse(428, "ticket-required", detail=found.ok_value.name)
+        return None
+
+    async def run(
+        self,
+        request: ClientRequest,
+        trace: Trace,
+        scope: trio.CancelScope,
+        deliver: Deliver,
+    ) -> Answer:
+        """Run a request and return its answer.
+
+        Parameters
+        ----------
+        trace
+            Filled on the way; ``trace.left`` tells that the client left.
+        scope
+            Not entered yet; cancelling it ends the request.
+        deliver
+            Streams a long response to the client; it returns whether the
+            response was delivered to its end.
+        """
+        if request.ticket is None:
+            return await self._run(request, trace, scope, deliver)
+        used = self._tickets.redeem(
+            request.ticket, request.service, _digest(request)
+        )
+        if isinstance(used, Rejected):
+            return self._reject(used, request.service)
+        if not isinstance(used, FirstUse):
+            return await self._repeat(request, used.record, scope)
+        answer: Answer | None = None
+        try:
+            answer = await self._run(request, trace, scope, deliver)
+        finally:
+            # A streamed answer is not kept.
+            kept = None if answer is None or answer.sent else answer
+            if kept is not None and len(kept.body) > BUFFER_BYTES:
+                kept = None
+            size = len(kept.body) + 512 if kept else 0
+            self._tickets.settle(used.record, kept, size=size)
+        return answer
+
+    async def _run(
+        self,
+        request: ClientRequest,
+        trace: Trace,
+        scope: trio.CancelScope,
+        deliver: Deliver,
+    ) -> Answer:
+        refused = self._check_catalogue(request)
+        if refused is not None:
+            return refused
+        runtime = self._directory.runtime(request.service)
+        if runtime is None:
+            return await self._relay(request, scope, trace, deliver)
+        service = runtime.service
+        entry = find_entry(service, request.method, request.path).unwrap()
+        trace.entry, trace.owner = entry.name, entry.owner
+        trace.rank, trace.revision = entry.rank.label, service.revision
+        allowed_s = entry.deadline_ms / 1000
+        if request.timeout_s is not None:
+            allowed_s = min(allowed_s, request.timeout_s)
+        deadline = request.arrived + allowed_s
+        scope.deadline = deadline
+        return await self._run_entry(
+            request, trace, scope, deliver, runtime, entry, deadline
+        )
+
+    async def _repeat(
+        self,
+        request: ClientRequest,
+        record: TicketRecord,
+        scope: trio.CancelScope,
+    ) -> Answer:
+        if request.timeout_s is not None:
+            scope.deadline = request.arrived + request.timeout_s
+        with scope:
+            await record.done.wait()
+        if record.answer is not None:
+            answer: Answer = record.answer
+            return answer
+        return refuse(409, "outcome-not-kept", outcome=Outcome.UNKNOWN)
+
+    def _reject(self, rejected: Rejected, service: str) -> Answer:
+        if rejected.status != 421:
+            return refuse(
+                rejected.status, rejected.reason, outcome=rejected.outcome
+            )
+        owners = self._directory.owners(service) or []
+        answer = wrong_instance(owners)
+        answer.headers.append(
+            (
+                b"hawthornmast-instance",
+                # Clients choose the ticket's text.
+                rejected.instance[:64].encode("ascii", "replace"),
+            )
+        )
+        return answer
+
+    async def _run_entry(
+        self,
+        request: ClientRequest,
+        trace: Trace,
+        scope: trio.CancelScope,
+        deliver: Deliver,
+        runtime: ServiceRuntime,
+        entry: Entry,
+        deadline: float,
+    ) -> Answer:
+        attempts = _Attempts(deadline)
+        progress = Progress()
+        headers = filter_headers(request.headers)
+        answer: Answer | None = None
+        with scope:
+            while answer is None:
+                progress = Progress()
+                answer = await self._attempt(
+                    request,
+                    trace,
+                    deliver,
+                    runtime,
+                    entry,
+                    attempts,
+                    progress,
+                    headers,
+                )
+        if answer is not None:
+            return answer
+        reason = "client-left" if trace.left else "deadline"
+        if progress.started:
+            return refuse(504, reason, outcome=Outcome.UNKNOWN)
+        return _busy(reason)
+
+    async def _attempt(
+        self,
+        request: ClientRequest,
+        trace: Trace,
+        deliver: Deliver,
+        runtime: ServiceRuntime,
+        entry: Entry,
+        attempts: _Attempts,
+        progress: Progress,
+        headers: RawHeaders,
+    ) -> Answer | None:
+        """Try one upstream; return None when another is to be tried."""
+        admitted = await runtime.admit(
+            entry, deadline=attempts.deadline, exclude=attempts.exclude
+        )
+        if isinstance(admitted, Err):
+            if attempts.last is not None:
+                return attempts.last
+            refusal = admitted.err_value
+            return _busy(
+                refusal.reason.value, refusal.retry_after, refusal.limit
+            )
+        admission = admitted.ok_value
+        upstream = admission.upstream
+        trace.queue_s += admission.waited
+        trace.upstreams.append(upstream.upstream_id)
+        attempts.count += 1
+        evidence = Evidence.NEUTRAL
+        attempt = runtime.begin(upstream.upstream_id, entry.name)
+        try:
+            left_s = attempts.deadline - self._clock()
+            sent = await self._upstreams.send(
+                upstream,
+                _build(request, headers, left_s),
+                request.body,
+                progress,
+                deadline=attempts.deadline,
+                fresh=not entry.idempotent,
+                buffer_bytes=OLD_BUFFER_BYTES if request.old else BUFFER_BYTES,
+            )
+            if isinstance(sent, Err):
+                evidence = _judge_error(sent.err_value, progress)
+                return self._after_error(
+                    sent.err_value,
+                    upstream,
+                    progress,
+                    runtime,
+                    entry,
+                    attempts,
+                )
+            exchange = sent.ok_value
+            try:
+                if exchange.header(b"upstream-state") == b"leaving":
+                    runtime.note_leaving(upstream.upstream_id)
+                if not _is_own(exchange, request):
+                    evidence = Evidence.FAILED
+                    error = StepError(step="read", detail="crossed response")
+                    return self._after_error(
+                        error, upstream, progress, runtime, entry, attempts
+                    )
+                if exchange.complete and _is_shed(exchange, runtime):
+                    evidence = Evidence.SHED
+                    return self._after_shed(upstream, runtime, entry, attempts)
+                answer = _to_answer(request, exchange)
+                if not exchange.complete:
+                    if request.old:
+                        return refuse(502, "too-long", outcome=Outcome.UNKNOWN)
+                    answer.sent = True
+                    answer.cut = not await deliver(answer, exchange)
+                    if answer.cut:
+                        answer.outcome = Outcome.UNKNOWN
+                evidence = _judge_status(exchange.status)
+                if answer.cut and not trace.left:
+                    evidence = Evidence.FAILED
+            finally:
+                exchange.abort()
+            if attempts.count == 1:
+                runtime.count_attempt(entry)
+            return answer
+        except trio.Cancelled:
+            evidence = self._judge_cancelled(trace, entry, progress)
+            raise
+        finally:
+            runtime.finish(attempt, evidence)
+            admission.release()
+
+    def _judge_cancelled(
+        self, trace: Trace, entry: Entry, progress: Progress
+    ) -> Evidence:
+        if trace.left or not progress.started:
+            return Evidence.NEUTRAL
+        spent = self._clock() - progress.started_at
+        if spent >= _FAIR_PART * entry.deadline_ms / 1000:
+            return Evidence.FAILED
+        return Evidence.NEUTRAL
+
+    def _after_error(
+        self,
+        error: StepError,
+        upstream: Upstream,
+        progress: Progress,
+        runtime: ServiceRuntime,
+        entry: Entry,
+        attempts: _Attempts,
+    ) -> Answer | None:
+        """Decide after a failed exchange; None means another attempt."""
+        if error.step == "deadline":
+            return attempts.last or _busy("deadline")
+        # A closed kept connection says nothing against its upstream.
+        if not progress.reused:
+            attempts.exclude.add(upstream.upstream_id)
+        more = attempts.count < MAX_ATTEMPTS
+        if not progress.started:
+            attempts.last = attempts.last or _busy("no-upstream")
+            return None if more else attempts.last
+        answer = refuse(
+            502,
+            "upstream-failed",
+            outcome=Outcome.UNKNOWN,
+            detail=f"{error.step} failed",
+        )
+        attempts.last = answer
+        if entry.idempotent and more and runtime.allow_retry(entry):
+            return None
+        return answer
+
+    def _after_shed(
+        self,
+        upstream: Upstream,
+        runtime: ServiceRuntime,
+        entry: Entry,
+        attempts: _Attempts,
+    ) -> Answer | None:
+        attempts.exclude.add(upstream.upstream_id)
+        attempts.last = attempts.last or _busy("shed")
+        if attempts.count < MAX_ATTEMPTS and runtime.allow_retry(entry):
+            return None
+        return attempts.last
+
+    async def _relay(
+        self,
+        request: ClientRequest,
+        scope: trio.CancelScope,
+        trace: Trace,
+        deliver: Deliver,
+    ) -> Answer:
+        """Pass a request to an owner of its service, once.
+
+        The request has no ticket, so an owner runs it only when it is
+        idempotent.
+        """
+        owners = self._directory.owners(request.service) or []
+        if not owners:
+            return _busy("no-owner")
+        headers = filter_headers(request.headers)
+        mark = self._mark.sign(
+            request.request_id, request.method, request.target
+        )
+        headers.append((relay.HEADER, mark))
+        allowed_s = min(RELAY_S, request.timeout_s or RELAY_S)
+        scope.deadline = request.arrived + allowed_s
+        progress = Progress()
+        with scope:
+            # Owners of the own zone come first; another is tried only when
+            # no connection could be made.
+            for owner in owners[:MAX_ATTEMPTS]:
+                trace.upstreams.append(owner.instance_id)
+                progress = Progress()
+                sent = await self._upstreams.send(
+                    _as_upstream(owner),
+                    _build(request, headers, scope.deadline - self._clock()),
+                    request.body,
+                    progress,
+                    deadline=scope.deadline,
+                    fresh=False,
+                    buffer_bytes=(
+                        OLD_BUFFER_BYTES if request.old else BUFFER_BYTES
+                    ),
+                )
+                if not isinstance(sent, Err):
+                    return await _deliver_relayed(
+                        request, sent.ok_value, deliver
+                    )
+                if progress.started:
+                    break
+        if progress.started:
+            return refuse(502, "relay-failed", outcome=Outcome.UNKNOWN)
+        return _busy("no-owner")
+
+
+async def _deliver_relayed(
+    request: ClientRequest, exchange: Exchange, deliver: Deliver
+) -> Answer:
+    try:
+        if not _is_own(exchange, request):
+            return refuse(502, "relay-failed", outcome=Outcome.UNKNOWN)
+        answer = _to_answer(request, exchange, relayed=True)
+        if not exchange.complete:
+            if request.old:
+                return refuse(502, "too-long", outcome=Outcome.UNKNOWN)
+            answer.sent = True
+            answer.cut = not await deliver(answer, exchange)
+        return answer
+    finally:
+        exchange.abort()
+
+
+def _as_upstream(owner: Instance) -> Upstream:
+    return Upstream(
+        upstream_id=f"relay {owner.instance_id}",
+        zone=owner.zone,
+        host=owner.host,
+        port=owner.port,
+        slots=1,
+    )
+
+
+def _busy(
+    reason: str, retry_after: float | None = None, detail: str = ""
+) -> Answer:
+    if retry_after is None:
+        retry_after = 0.5 + random.random()
+    return refuse(503, reason, retry_after=retry_after, detail=detail)
+
+
+def wrong_instance(owners: list[Instance]) -> Answer:
+    """Return the answer that names the owners of a service."""
+    value = ", ".join(owner.address for owner in owners).encode()
+    return refuse(
+        421, "wrong-instance", headers=[(b"hawthornmast-owners", value)]
+    )
+
+
+def _digest(request: ClientRequest) -> bytes:
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (
+        request.method.encode(),
+        request.target.encode(),
+        request.body,
+    ):
+        digest.update(b"%d:" % len(part))
+        digest.update(part)
+    return digest.digest()
+
+
+def _build(
+    request: ClientRequest, headers: RawHeaders, left_s: float
+) -> h11.Request:
+    pairs = [(b"host", request.service.encode()), *headers]
+    pairs.append((b"hawthornmast-request-id", request.request_id.encode()))
+    left_ms = max(1, int(left_s * 1000))
+    pairs.append((b"hawthornmast-timeout-ms", b"%d" % left_ms))
+    if request.framed:
+        pairs.append((b"content-length", b"%d" % len(request.body)))
+    return h11.Request(
+        method=request.method, target=request.target, headers=pairs
+    )
+
+
+def _is_own(exchange: Exchange, request: ClientRequest) -> bool:
+    """Return False when the response names another request."""
+    named = exchange.header(b"hawthornmast-request-id")
+    return named is None or named == request.request_id.encode()
+
+
+def _is_shed(exchange: Exchange, runtime: ServiceRuntime) -> bool:
+    certificate = runtime.service.not_run_header
+    if certificate is None or exchange.status != 503:
+        return False
+    name, value = certificate
+    return exchange.header(name.lower().encode()) == value.encode()
+
+
+def _judge_error(error: StepError, progress: Progress) -> Evidence:
+    if error.step == "deadline" or error.detail.startswith("all "):
+        return Evidence.NEUTRAL
+    if progress.reused and not progress.answered:
+        return Evidence.NEUTRAL
+    return Evidence.FAILED
+
+
+def _judge_status(status: int) -> Evidence:
+    if status >= 500:
+        return Evidence.FAILED
+    return Evidence.NEUTRAL if status >= 400 else Evidence.OK
+
+
+def _to_answer(
+    request: ClientRequest, exchange: Exchange, *, relayed: bool = False
+) -> Answer:
+    headers = filter_headers(exchange.headers, relayed=relayed)
+    outcome = Outcome.COMPLETE
+    reason = ""
+    if relayed:
+        text = exchange.header(b"hawthornmast-outcome") or b"unknown"
+        try:
+            outcome = Outcome(text.decode("latin-1"))
+        except ValueError:
+            outcome = Outcome.UNKNOWN
+        value = exchange.header(b"hawthornmast-reason") or b""
+        reason = value.decode("latin-1")
+    return Answer(
+        status=exchange.status,
+        outcome=outcome,
+        reason=reason,
+        headers=headers,
+        body=bytes(exchange.body),
+        length=exchange.header(b"content-length"),
+    )
--- /dev/null
+++ b/src/hawthornmast/forwarding/messages.py
@@ -0,0 +1,119 @@
+"""A client's request and the answer to it."""
+
+import attrs
+
+from hawthornmast.common import Outcome
+from hawthornmast.forwarding.headers import outcome_headers
+from hawthornmast.forwarding.headers import RawHeaders
+
+
+@attrs.define(kw_only=True, eq=False)
+class ClientRequest:
+    """A request with its whole body, as a client sent it.
+
+    Parameters
+    ----------
+    target
+        In origin form.
+    path
+        Decoded path, free of ambiguous segments.
+    service
+        Name that the ``Host`` header gives, without a port.
+    headers
+        Pairs with names in lower case.
+    framed
+        The client declared a body, if only an empty one.
+    old
+        The client speaks HTTP/1.0.
+    timeout_s
+        Value of ``Hawthornmast-Timeout-Ms`` in seconds.
+    relayed
+        Another daemon of the fleet relayed the request.
+    arrived
+        Time at which the head was read.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    path: str
+    service: str
+    headers: RawHeaders
+    body: bytes = b""
+    framed: bool = False
+    old: bool = False
+    timeout_s: float | None = None
+    ticket: str | None = None
+    relayed: bool = False
+    client: str = ""
+    arrived: float = 0.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class Answer:
+    """An answer with its whole body.
+
+    Parameters
+    ----------
+    headers
+        Without those of framing and without the outcome.
+    length
+        ``Content-Length`` to announce instead of the body's, for HEAD.
+    sent
+        The answer was streamed already.
+    cut
+        The answer was streamed and could not be finished.
+    """
+
+    status: int
+    outcome: Outcome
+    reason: str = ""
+    headers: RawHeaders = attrs.Factory(list)
+    body: bytes = b""
+    length: bytes | None = None
+    sent: bool = False
+    cut: bool = False
+
+    def head(self, request_id: str) -> RawHeaders:
+        """Return the headers with the outcome."""
+        own = outcome_headers(self.outcome, request_id, reason=self.reason)
+        return [*self.headers, *own]
+
+
+@attrs.define(kw_only=True, eq=False)
+class Trace:
+    """What happened to a request on its way, for its report."""
+
+    entry: str = ""
+    owner: str = ""
+    rank: str = ""
+    revision: int = 0
+    upstreams: list[str] = attrs.Factory(list)
+    queue_s: float = 0.0
+    left: bool = False
+
+
+def refuse(
+    status: int,
+    reason: str,
+    *,
+    outcome: Outcome = Outcome.NOT_RUN,
+    detail: str = "",
+    headers: RawHeaders | None = None,
+    retry_after: float | None = None,
+) -> Answer:
+    """Return an answer of the daemon itself."""
+    pairs: RawHeaders = [(b"content-type", b"text/plain; charset=utf-8")]
+    if retry_after is not None:
+        # Whole seconds are all that the header can hold.
+        seconds = max(1, round(retry_after))
+        pairs.append((b"retry-after", str(seconds).encode()))
+    pairs += headers or []
+    text = f"{reason}: {detail}\n" if detail else f"{reason}\n"
+    return Answer(
+        status=status,
+        outcome=outcome,
+        reason=reason,
+        headers=pairs,
+        body=text.encode(errors="replace"),
+    )
--- /dev/null
+++ b/src/hawthornmast/forwarding/pages.py
@@ -0,0 +1,89 @@
+"""Address and ticket responses."""
+
+import json
+from typing import Any
+import urllib.parse
+
+from hawthornmast.common import Outcome
+from hawthornmast.forwarding.forwarder import wrong_instance
+from hawthornmast.forwarding.messages import Answer
+from hawthornmast.forwarding.messages import refuse
+from hawthornmast.forwarding.runtime import ServiceDirectory
+from hawthornmast.forwarding.tickets import TicketBook
+
+ROOT = "/.well-known/hawthornmast/"
+ADDRESS_TTL_S = 5
+MAX_TICKETS = 64
+
+
+def _answer_json(value: dict[str, Any]) -> Answer:
+    return Answer(
+        status=200,
+        outcome=Outcome.COMPLETE,
+        headers=[
+            (b"content-type", b"application/json"),
+            (b"cache-control", b"no-store"),
+        ],
+        body=json.dumps(value).encode() + b"\n",
+    )
+
+
+def answer_page(
+    method: str,
+    target: str,
+    *,
+    directory: ServiceDirectory,
+    tickets: TicketBook,
+    closing: bool,
+) -> Answer:
+    """Return the answer to a request for the fleet's own pages."""
+    path, _, text = target.partition("?")
+    query = dict(urllib.parse.parse_qsl(text))
+    page = path.removeprefix(ROOT)
+    allowed = {"addresses": "GET", "tickets": "POST"}.get(page)
+    if allowed is None:
+        return refuse(404, "no-page", detail=path)
+    if method != allowed:
+        headers = [(b"allow", allowed.encode())]
+        return refuse(405, "method", headers=headers)
+    name = query.get("service", "").lower()
+    owners = directory.owners(name)
+    if owners is None:
+        return refuse(404, "no-service", detail=name)
+    if page == "addresses":
+        runtime = directory.runtime(name)
+        return _answer_json(
+            {
+                "service": name,
+                "revision": runtime.service.revision if runtime else 0,
+                "ttl_s": ADDRESS_TTL_S,
+                "addresses": [
+                    {
+                        "host": owner.host,
+                        "port": owner.port,
+                        "zone": owner.zone,
+                        "instance": owner.instance_id,
+                    }
+                    for owner in owners
+                ],
+                "ticket_required_for": directory.ticketed_entries(name),
+            }
+        )
+    if directory.runtime(name) is None:
+        return wrong_instance(owners)
+    count = query.get("count", "1")
+    if not (count.isascii() and count.isdigit() and len(count) < 4) or not (
+        1 <= int(count) <= MAX_TICKETS
+    ):
+        detail = f"count is {count[:20]!r}, allowed are 1 to {MAX_TICKETS}"
+        return refuse(400, "bad-count", detail=detail)
+    if closing:
+        # Its tickets could not be used after this daemon has gone.
+        return refuse(503, "closing", retry_after=1)
+    return _answer_json(
+        {
+            "instance": tickets.instance_id,
+            "expires_s": tickets.lifetime_s,
+            "tickets": tickets.issue(name, int(count)),
+        }
+    )
--- /dev/null
+++ b/src/hawthornmast/forwarding/relay.py
@@ -0,0 +1,48 @@
+"""The mark by which one daemon recognises a request relayed by another."""
+
+from collections.abc import Sequence
+import hashlib
+import hmac
+
+HEADER = b"hawthornmast-relayed"
+
+
+class RelayMark:
+    """Signs and checks the mark of relayed requests.
+
+    Parameters
+    ----------
+    secrets
+        Shared secrets of the fleet; the first one signs, all are accepted.
+    """
+
+    def __init__(self, secrets: Sequence[bytes]) -> None:
+        self._keys = [
+            hmac.new(secret, b"hawthornmast relay", hashlib.sha256).digest()
+            for secret in secrets
+        ]
+
+    def sign(self, request_id: str, method: str, target: str) -> bytes:
+        """Return the header's value; there must be a secret."""
+        return self._mark(self._keys[0], request_id, method, target)
+
+    def check(self, value: bytes, method: str, target: str) -> bool:
+        """Return whether a daemon of the fleet made the mark."""
+        request_id = value.partition(b".")[0].decode("latin-1")
+        return any(
+            hmac.compare_digest(
+                value, self._mark(key, request_id, method, target)
+            )
+            for key in self._keys
+        )
+
+    def __bool__(self) -> bool:
+        """Return whether there is a secret."""
+        return bool(self._keys)
+
+    def _mark(
+        self, key: bytes, request_id: str, method: str, target: str
+    ) -> bytes:
+        text = f"{request_id}\n{method}\n{target}".encode()
+        mac = hmac.new(key, text, hashlib.sha256).hexdigest()[:32]
+        return f"{request_id}.{mac}".encode("latin-1", errors="replace")
--- /dev/null
+++ b/src/hawthornmast/forwarding/tests/support.py
@@ -0,0 +1,224 @@
+"""A small fleet for the tests: one server, one service, some upstreams."""
+
+import contextlib
+
+import attrs
+from result import Err
+from result import Ok
+import trio
+
+from hawthornmast import forwarding
+from hawthornmast import http
+from hawthornmast.catalogue import Entry
+from hawthornmast.catalogue import Service
+from hawthornmast.common import Instance
+from hawthornmast.common import Upstream
+from hawthornmast.limits import Admission
+from hawthornmast.limits import Reason
+from hawthornmast.limits import Refusal
+from standins.upstream import UpstreamStandIn
+
+SERVICE = Service(
+    name="billing",
+    owner="billing-team",
+    not_run_header=("Upstream-Not-Run", "1"),
+    revision=7,
+    entries=(
+        Entry(
+            name="charge",
+            owner="renewals",
+            methods=("POST",),
+            path="/renewals",
+            idempotent=False,
+            deadline_ms=2000,
+        ),
+        Entry(name="read", owner="web", path="/read", deadline_ms=2000),
+    ),
+)
+
+
+class Runtime:
+    """Admits to the first upstream that is not excluded."""
+
+    service = SERVICE
+
+    def __init__(self, upstreams):
+        self.upstreams = upstreams
+        self.evidence = []
+        self.leaving = []
+        self.held = 0
+        self.retries = 10
+        self.refusal = None
+        self.gate = None
+
+    async def admit(self, entry, *, deadline, exclude):
+        if self.gate is not None:
+            await self.gate.wait()
+        if self.refusal is not None:
+            return Err(self.refusal)
+        for upstream in self.upstreams:
+            if upstream.upstream_id not in exclude:
+                self.held += 1
+                return Ok(
+                    Admission(
+                        upstream=upstream, waited=0.0, release=self._release
+                    )
+                )
+        return Err(Refusal(reason=Reason.NO_UPSTREAM, retry_after=2.0))
+
+    def _release(self):
+        self.held -= 1
+
+    def begin(self, upstream_id, entry_name):
+        return upstream_id
+
+    def finish(self, attempt, evidence):
+        self.evidence.append((attempt, evidence.value))
+
+    def allow_retry(self, entry):
+        self.retries -= 1
+        return self.retries >= 0
+
+    def count_attempt(self, entry):
+        pass
+
+    def note_leaving(self, upstream_id):
+        self.leaving.append(upstream_id)
+
+
+@attrs.define
+class Directory:
+    """Knows the service, and one more that another daemon owns."""
+
+    own: Runtime
+    others: dict = attrs.Factory(dict)
+
+    def runtime(self, service_name):
+        return self.own if service_name == "billing" else None
+
+    def owners(self, service_name):
+        if service_name == "billing":
+            return [make_instance("d1", 1)]
+        return self.others.get(service_name)
+
+    def ticketed_entries(self, service_name):
+        return ["charge"]
+
+
+def make_instance(instance_id, port):
+    return Instance(
+        instance_id=instance_id,
+        zone="z1",
+        host="127.0.0.1",
+        port=port,
+        peer_port=1,
+    )
+
+
+class Fleet:
+    """A started server with its stand-ins."""
+
+    def __init__(self, count=2, **options):
+        self.standins = [UpstreamStandIn(slots=8) for _ in range(count)]
+        self.reports = []
+        self.bad = []
+        self.options = options
+
+    async def start(self, nursery):
+        upstreams = []
+        for index, standin in enumerate(self.standins):
+            await standin.start(nursery)
+            upstreams.append(
+                Upstream(
+                    upstream_id=f"u{index}",
+                    zone="z1",
+                    host="127.0.0.1",
+                    port=standin.port,
+                    slots=8,
+                )
+            )
+        self.runtime = Runtime(upstreams)
+        self.directory = Directory(self.runtime)
+        self.tickets = forwarding.TicketBook("d1", 0x1234, lifetime_s=30)
+        self.upstreams = forwarding.UpstreamClient()
+        self.server = forwarding.ClientServer(
+            self.directory,
+            self.tickets,
+            self.upstreams,
+            on_finished=self.reports.append,
+            on_bad_input=self.bad.append,
+            **self.options,
+        )
+        await self.server.start(nursery)
+        self.port = self.server.port
+
+    def runs(self, key=None):
+        return sum(
+            len(one.log) if key is None else one.count_runs(key)
+            for one in self.standins
+        )
+
+    def set_faults(self, *indexes, **values):
+        for index in indexes or range(len(self.standins)):
+            faults = self.standins[index].faults
+            self.standins[index].faults = attrs.evolve(faults, **values)
+
+    async def call(self, method="GET", path="/read", *, headers=(), body=b""):
+        """Send one request on a connection of its own."""
+        pairs = (("Host", "billing"), ("X-Request-Key", "k"), *headers)
+        done = await http.fetch(
+            "127.0.0.1", self.port, method, path, headers=pairs, body=body
+        )
+        return done.unwrap()
+
+    async def charge(self, ticket=None, *, key="c", headers=(), body=b"b"):
+        if ticket is None:
+            ticket = self.tickets.issue("billing")[0]
+        pairs = (("Hawthornmast-Ticket", ticket), ("X-Request-Key", key))
+        pairs = (("Host", "billing"), *pairs, *headers)
+        done = await http.fetch(
+            "127.0.0.1",
+            self.port,
+            "POST",
+            "/renewals/1",
+            headers=pairs,
+            body=body,
+        )
+        return done.unwrap()
+
+    async def talk(self, data, *, timeout=5.0):
+        """Send bytes and return all that comes back until the end."""
+        received = b""
+        stream = await trio.open_tcp_stream("127.0.0.1", self.port)
+        async with stream:
+            with trio.fail_after(timeout):
+                with contextlib.suppress(trio.BrokenResourceError):
+                    await stream.send_all(data)
+                with contextlib.suppress(trio.BrokenResourceError):
+                    while part := await stream.receive_some(65536):
+                        received += part
+        return received
+
+
+@contextlib.asynccontextmanager
+async def run_fleet(count=2, **options):
+    """Run a fleet; at the end nothing of it may be left."""
+    fleet = Fleet(count, **options)
+    async with trio.open_nursery() as nursery:
+        await fleet.start(nursery)
+        yield fleet
+        with trio.fail_after(5):
+            while fleet.runtime.held or fleet.server.connections:
+                await trio.sleep(0.01)
+        await fleet.server.close()
+        assert fleet.upstreams.open_connections() == 0
+        nursery.cancel_scope.cancel()
+
+
+def outcome(answer):
+    """Return status, outcome and reason of an answer."""
+    return (
+        answer.status,
+        answer.header("Hawthornmast-Outcome"),
+        answer.header("Hawthornmast-Reason"),
+    )
--- /dev/null
+++ b/src/hawthornmast/forwarding/tests/test_server.py
@@ -0,0 +1,164 @@
+"""Tests of forwarding through a whole server, on loopback sockets."""
+
+import pytest
+import trio
+
+from hawthornmast import http
+from hawthornmast.forwarding.tests.support import make_instance
+from hawthornmast.forwarding.tests.support import outcome
+from hawthornmast.forwarding.tests.support import run_fleet
+
+
+class TestForwarding:
+    @pytest.mark.parametrize(
+        ("method", "body"),
+        [("GET", b""), ("POST", b"x" * 70000), ("HEAD", b"")],
+    )
+    async def test_answer_is_the_upstreams(self, method, body):
+        async with run_fleet() as fleet:
+            answer = await fleet.call(method, body=body)
+            assert outcome(answer) == (200, "complete", None)
+            expected = f"key=k method={method} length={len(body)}\n"
+            assert answer.body == (
+                b"" if method == "HEAD" else expected.encode()
+            )
+            assert answer.header("Content-Length") == str(len(expected))
+            assert fleet.runs("k") == 1
+            assert fleet.runtime.evidence == [("u0", "ok")]
+            report = fleet.reports[0]
+            assert (report.entry, report.upstreams) == ("read", ("u0",))
+            assert report.revision == 7
+
+    @pytest.mark.parametrize("status", [204, 304, 404, 500])
+    async def test_statuses_pass(self, status):
+        async with run_fleet() as fleet:
+            fleet.set_faults(status=status)
+            answer = await fleet.call()
+            assert outcome(answer) == (status, "complete", None)
+
+    @pytest.mark.parametrize(
+        ("method", "path", "host", "expected"),
+        [
+            ("GET", "/other", "billing", (404, "not-run", "no-entry")),
+            ("GET", "/renewals", "billing", (405, "not-run", "method")),
+            (
+                "POST",
+                "/renewals",
+                "billing",
+                (428, "not-run", "ticket-required"),
+            ),
+            ("GET", "/", "unknown", (404, "not-run", "no-service")),
+            (
+                "GET",
+                "/read/../renewals",
+                "billing",
+                (400, "not-run", "bad-target"),
+            ),
+            ("GET", "/read%2f..", "billing", (400, "not-run", "bad-target")),
+            ("CONNECT", "a:1", "billing", (501, "not-run", "connect")),
+        ],
+    )
+    async def test_refusals_run_nothing(self, method, path, host, expected):
+        async with run_fleet() as fleet:
+            headers = (("Host", host),)
+            done = await http.fetch(
+                "127.0.0.1", fleet.port, method, path, headers=headers
+            )
+            assert outcome(done.unwrap()) == expected
+            assert fleet.runs() == 0
+
+    async def test_headers_of_hops_and_fleet_are_removed(self):
+        # Guards against clients and upstreams that forge fleet headers.
+        async with run_fleet() as fleet:
+            fleet.set_faults(
+                extra_headers=[
+                    ["Hawthornmast-Outcome", "not-run"],
+                    ["Connection", "X-Hop"],
+                    ["X-Hop", "1"],
+                    ["X-End", "1"],
+                ]
+            )
+            answer = await fleet.call(
+                headers=(
+                    ("Connection", "X-Secret"),
+                    ("X-Secret", "1"),
+                    ("Hawthornmast-Relayed", "a.b"),
+                    ("Hawthornmast-Outcome", "complete"),
+                    ("X-Kept", "1"),
+                )
+            )
+            assert outcome(answer) == (200, "complete", None)
+            assert (answer.header("X-End"), answer.header("X-Hop")) == (
+                "1",
+                None,
+            )
+            names = dict(fleet.standins[0].requests[0].headers)
+            assert b"x-kept" in names
+            assert not names.keys() & {
+                b"x-secret",
+                b"hawthornmast-relayed",
+                b"hawthornmast-outcome",
+            }
+            assert 0 < int(names[b"hawthornmast-timeout-ms"]) <= 2000
+            assert names[b"via"] == b"1.1 hawthornmast"
+            assert fleet.bad == ["forged-relay"]
+
+    async def test_long_answer_is_streamed_whole(self):
+        async with run_fleet() as fleet:
+            fleet.set_faults(body_bytes=1_000_000, chunked=True)
+            answer = await fleet.call()
+            assert len(answer.body) == 1_000_000
+            assert outcome(answer) == (200, "complete", None)
+
+
+class TestPages:
+    async def test_addresses_and_tickets(self):
+        async with run_fleet() as fleet:
+            root = "/.well-known/hawthornmast/"
+            answer = await fleet.call(path=root + "addresses?service=billing")
+            page = answer.json()
+            assert page["ticket_required_for"] == ["charge"]
+            assert page["addresses"][0]["instance"] == "d1"
+            answer = await fleet.call(
+                "POST", root + "tickets?service=billing&count=3"
+            )
+            tickets = answer.json()["tickets"]
+            assert len(set(tickets)) == 3
+            assert outcome(await fleet.charge(tickets[0]))[0] == 200
+            for count in ("0", "65", "x"):
+                answer = await fleet.call(
+                    "POST", root + f"tickets?service=billing&count={count}"
+                )
+                assert outcome(answer) == (400, "not-run", "bad-count")
+
+    async def test_other_service_names_its_owners(self):
+        async with run_fleet() as fleet:
+            fleet.directory.others["other"] = [make_instance("d2", 99)]
+            answer = await fleet.call(
+                "POST", "/.well-known/hawthornmast/tickets?service=other"
+            )
+            assert outcome(answer) == (421, "not-run", "wrong-instance")
+            assert answer.header("Hawthornmast-Owners") == "127.0.0.1:99"
+
+
+class TestDrain:
+    async def test_requests_in_flight_end_and_idle_connections_close(self):
+        # Guards against a graceful shutdown that cuts a running request.
+        async with run_fleet() as fleet:
+            fleet.set_faults(service_s=0.2)
+            idle = await trio.open_tcp_stream("127.0.0.1", fleet.port)
+            answers = []
+
+            async def call():
+                answers.append(await fleet.call())
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(call)
+                await trio.sleep(0.1)
+                fleet.server.begin_drain()
+                assert await idle.receive_some(1) == b""
+                await idle.aclose()
+                with trio.fail_after(3):
+                    await fleet.server.finish(0.05)
+            assert outcome(answers[0]) == (200, "complete", None)
+            assert answers[0].header("Connection") == "close"
--- /dev/null
+++ b/src/hawthornmast/forwarding/upstream.py
@@ -0,0 +1,351 @@
+"""Connections to upstreams and exchanges on them."""
+
+from collections import deque
+from collections.abc import Callable
+import socket
+
+import attrs
+import h11
+from result import Err
+from result import Ok
+from result import Result
+import trio
+
+from hawthornmast.common import StepError
+from hawthornmast.common import Upstream
+from hawthornmast.forwarding.headers import RawHeaders
+
+_READ_BYTES = 65536
+_MAX_HEADER_BYTES = 32768
+_NO_BODY = frozenset({204, 304})
+
+
+@attrs.define
+class Progress:
+    """How far an attempt got, also when it was cancelled.
+
+    Parameters
+    ----------
+    started
+        A byte of the request was handed to the upstream.
+    reused
+        The attempt used a kept connection.
+    answered
+        A byte of a response arrived.
+    started_at
+        Time of the first byte.
+    """
+
+    started: bool = False
+    reused: bool = False
+    answered: bool = False
+    started_at: float = 0.0
+
+
+class _Link:
+    """One connection to an upstream."""
+
+    __slots__ = ("_raw", "connection", "idle_since", "pool", "sock")
+
+    def __init__(self, raw: socket.socket, pool: "_Pool") -> None:
+        self._raw = raw
+        self.sock = trio.socket.from_stdlib_socket(raw)
+        self.pool = pool
+        self.idle_since = 0.0
+        self.connection = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_MAX_HEADER_BYTES
+        )
+        pool.open += 1
+
+    def close(self) -> None:
+        if self.sock.fileno() >= 0:
+            self.pool.open -= 1
+            self.sock.close()
+
+    def is_quiet(self) -> bool:
+        """Return whether the connection is open with nothing to read."""
+        try:
+            self._raw.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+
+class _Pool:
+    __slots__ = ("idle", "open")
+
+    def __init__(self) -> None:
+        self.idle: deque[_Link] = deque()
+        self.open = 0
+
+
+class Exchange:
+    """A response whose head has arrived.
+
+    Parameters
+    ----------
+    status, headers
+        Of the response.
+    body
+        What was read of the body so far.
+    complete
+        The whole body was read and its end was proved.
+    """
+
+    __slots__ = ("_client", "_link", "body", "complete", "headers", "status")
+
+    def __init__(
+        self, client: "UpstreamClient", link: _Link, head: h11.Response
+    ) -> None:
+        self._client = client
+        self._link = link
+        self.status = head.status_code
+        self.headers: RawHeaders = list(head.headers)
+        self.body = bytearray()
+        self.complete = False
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header; names are in lower case."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+    async def read(self) -> bytes:
+        """Return the next part of the body; empty when it is complete.
+
+        Raises OSError or ``h11.RemoteProtocolError`` when the body is cut.
+        """
+        connection = self._link.connection
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                data = await self._link.sock.recv(_READ_BYTES)
+                connection.receive_data(data)
+            elif type(event) is h11.Data:
+                return bytes(event.data)
+            elif type(event) is h11.EndOfMessage:
+                self.complete = True
+                self._client.keep(self._link)
+                return b""
+            else:
+                raise h11.RemoteProtocolError("connection closed early")
+
+    def abort(self) -> None:
+        """Close the connection unless the response is complete."""
+        if not self.complete:
+            self._link.close()
+
+
+class UpstreamClient:
+    """Sends requests to upstreams over bounded pools of connections.
+
+    Parameters
+    ----------
+    idle_s
+        Seconds after which an idle connection is closed.
+    connect_s
+        Seconds within which a connection must be established.
+    max_idle
+        Idle connections kept for each upstream.
+    clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        *,
+        idle_s: float = 15.0,
+        connect_s: float = 1.0,
+        max_idle: int = 16,
+        clock: Callable[[], float] = trio.current_time,
+    ) -> None:
+        self._idle_s = idle_s
+        self._connect_s = connect_s
+        self._max_idle = max_idle
+        self._clock = clock
+        self._pools: dict[str, _Pool] = {}
+        self._closed = False
+
+    def open_connections(self) -> int:
+        """Return the number of open connections to all upstreams."""
+        return sum(pool.open for pool in self._pools.values())
+
+    async def send(
+        self,
+        upstream: Upstream,
+        request: h11.Request,
+        body: bytes,
+        progress: Progress,
+        *,
+        deadline: float,
+        fresh: bool,
+        buffer_bytes: int,
+    ) -> Result[Exchange, StepError]:
+        """Send a request and read its response up to ``buffer_bytes``.
+
+        A cancelled call closes the connection; ``progress`` then tells
+        whether the upstream may have run the request.
+
+        Parameters
+        ----------
+        deadline
+            Checked directly before the first byte is written.
+        fresh
+            Use a new connection.
+        """
+        link: _Link | None = None
+        done = False
+        step = "connect"
+        try:
+            link = await self._take(upstream, progress, fresh)
+            if link is None:
+                detail = f"all {upstream.connections} connections are in use"
+                return Err(StepError(step=step, detail=detail))
+            step = "write"
+            connection = link.connection
+            data = connection.send(request) or b""
+            if body:
+                data += connection.send(h11.Data(data=body)) or b""
+            data += connection.send(h11.EndOfMessage()) or b""
+            now = self._clock()
+            if now >= deadline:
+                return Err(StepError(step="deadline", detail="it passed"))
+            # Either bytes are handed over and the call returns, or it
+            # raises, also when cancelled, and the upstream got nothing.
+            sent = await link.sock.send(data)
+            progress.started = True
+            progress.started_at = now
+            while sent < len(data):
+                sent += await link.sock.send(data[sent:])
+            step = "read"
+            exchange = await self._read_head(link, request, progress)
+            while len(exchange.body) <= buffer_bytes:
+                part = await exchange.read()
+                if not part:
+                    break
+                exchange.body += part
+            done = True
+            return Ok(exchange)
+        except (OSError, h11.RemoteProtocolError) as error:
+            detail = f"{type(error).__name__}: {error}"
+            return Err(
+                StepError(step=step, detail=detail, peer=upstream.address)
+            )
+        finally:
+            if link is not None and not done:
+                link.close()
+
+    def keep(self, link: _Link) -> None:
+        """Keep a connection whose exchange ended cleanly, else close it."""
+        connection = link.connection
+        pool = link.pool
+        if (
+            connection.our_state is not h11.DONE
+            or connection.their_state is not h11.DONE
+            or connection.trailing_data[0]
+            or len(pool.idle) >= self._max_idle
+            or self._closed
+        ):
+            link.close()
+            return
+        connection.start_next_cycle()
+        link.idle_since = self._clock()
+        pool.idle.append(link)
+
+    def close_idle(self) -> None:
+        """Close connections that were idle for too long."""
+        oldest = self._clock() - self._idle_s
+        for upstream_id, pool in list(self._pools.items()):
+            while pool.idle and pool.idle[0].idle_since <= oldest:
+                pool.idle.popleft().close()
+            if not pool.open:
+                del self._pools[upstream_id]
+
+    def close(self) -> None:
+        """Close all idle connections and keep none from now on."""
+        self._closed = True
+        for pool in self._pools.values():
+            while pool.idle:
+                pool.idle.pop().close()
+
+    async def _take(
+        self, upstream: Upstream, progress: Progress, fresh: bool
+    ) -> _Link | None:
+        # Addresses are reused by other instances, so they are in the key.
+        key = f"{upstream.upstream_id} {upstream.host}:{upstream.port}"
+        pool = self._pools.get(key)
+        if pool is None:
+            pool = self._pools[key] = _Pool()
+        if not fresh:
+            oldest = self._clock() - self._idle_s
+            while pool.idle:
+                link = pool.idle.pop()
+                if link.idle_since > oldest and link.is_quiet():
+                    progress.reused = True
+                    return link
+                link.close()
+        elif pool.open >= upstream.connections and pool.idle:
+            pool.idle.popleft().close()
+        if pool.open >= upstream.connections:
+            return None
+        return await self._connect(upstream, pool)
+
+    async def _connect(self, upstream: Upstream, pool: _Pool) -> _Link:
+        family = socket.AF_INET6 if ":" in upstream.host else socket.AF_INET
+        raw = socket.socket(family, socket.SOCK_STREAM)
+        raw.setblocking(False)
+        link = _Link(raw, pool)
+        connected = False
+        try:
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            with trio.move_on_after(self._connect_s):
+                await link.sock.connect((upstream.host, upstream.port))
+                connected = True
+            if not connected:
+                raise TimeoutError(f"no connection in {self._connect_s} s")
+        finally:
+            if not connected:
+                link.close()
+        return link
+
+    async def _read_head(
+        self, link: _Link, request: h11.Request, progress: Progress
+    ) -> Exchange:
+        connection = link.connection
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                data = await link.sock.recv(_READ_BYTES)
+                progress.answered = progress.answered or bool(data)
+                connection.receive_data(data)
+            elif type(event) is h11.Response:
+                break
+            elif type(event) is not h11.InformationalResponse:
+                raise h11.RemoteProtocolError("connection closed early")
+        exchange = Exchange(self, link, event)
+        _check_framing(exchange, event, request.method)
+        return exchange
+
+
+def _check_framing(
+    exchange: Exchange, head: h11.Response, method: bytes
+) -> None:
+    """Refuse a response whose end cannot be proved."""
+    length = exchange.header(b"content-length")
+    coding = exchange.header(b"transfer-encoding")
+    if coding is not None and length is not None:
+        raise h11.RemoteProtocolError("two kinds of body length")
+    if coding is not None and head.http_version < b"1.1":
+        raise h11.RemoteProtocolError("transfer-encoding in HTTP/1.0")
+    if (
+        coding is None
+        and length is None
+        and method != b"HEAD"
+        and exchange.status not in _NO_BODY
+    ):
+        raise h11.RemoteProtocolError(
+            "the body ends with the connection, so its end is not provable"
+        )
