--- a/src/hawthornmast/limits/__init__.py
+++ b/src/hawthornmast/limits/__init__.py
@@ -3,9 +3,17 @@
 from hawthornmast.limits.admission import Admission
 from hawthornmast.limits.admission import Reason
 from hawthornmast.limits.admission import Refusal
+from hawthornmast.limits.budget import RetryBudget
+from hawthornmast.limits.dispatcher import Dispatcher
+from hawthornmast.limits.division import divide_statically
+from hawthornmast.limits.pool import UpstreamPool
 
 __all__ = [
     "Admission",
+    "Dispatcher",
     "Reason",
     "Refusal",
+    "RetryBudget",
+    "UpstreamPool",
+    "divide_statically",
 ]
--- /dev/null
+++ b/src/hawthornmast/limits/dispatcher.py
@@ -0,0 +1,389 @@
+"""Admission of requests by rank, limit and deadline."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import random as random_module
+
+import attrs
+from result import Err
+from result import Ok
+from result import Result
+import trio
+
+from hawthornmast.catalogue import Entry
+from hawthornmast.catalogue import Service
+from hawthornmast.common import Rank
+from hawthornmast.common import Upstream
+from hawthornmast.limits.admission import Admission
+from hawthornmast.limits.admission import Reason
+from hawthornmast.limits.admission import Refusal
+from hawthornmast.limits.pool import UpstreamPool
+
+_SMOOTHING = 0.1
+"""Weight of the newest service time in its moving average."""
+
+_RETRY_AFTER_S = 0.25
+"""Least time before a refused request may profit from a new attempt."""
+
+_LEAST_SHARE = 1e-6
+"""Stands for a share of 0 in ratios of use per share."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class Waiter:
+    """One request in a queue.
+
+    ``outcome`` is None while it waits. ``notify`` is called once when the
+    outcome is set after ``enqueue`` returned.
+    """
+
+    entry: str
+    deadline: float
+    arrived: float
+    exclude: frozenset[str]
+    notify: Callable[[], None] | None = None
+    outcome: Result[Admission, Refusal] | None = None
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Queue:
+    """Waiting and running requests of one entry."""
+
+    entry: Entry
+    # A dict keeps arrival order and removes any waiter in constant time.
+    waiting: dict[int, Waiter] = attrs.field(factory=dict)
+    running: int = 0
+    turn: int = 0
+    listed: bool = True
+
+    @property
+    def share(self) -> float:
+        """Share used as a divisor."""
+        return max(self.entry.share, _LEAST_SHARE)
+
+    def classify(self, slots: int) -> tuple[bool, Rank]:
+        """Return the class of the next request; a lower one goes first."""
+        beyond = self.running >= self.entry.share * slots - 1e-9
+        return beyond, self.entry.rank
+
+    def order(self, slots: int) -> tuple[bool, Rank, float, int]:
+        """Return the sort key of the next request among the entries."""
+        # Equal use is resolved by the longest time since the last turn.
+        return (*self.classify(slots), self.running / self.share, self.turn)
+
+
+class Dispatcher:
+    """Admits requests of one service to the slots of its pool.
+
+    Parameters
+    ----------
+    service
+        Service with its entries and limits.
+    pool
+        Upstream slots that this daemon may use.
+    clock
+        Monotonic time in seconds, the clock of all deadlines.
+    random
+        Source of the jitter in ``retry_after``.
+    """
+
+    def __init__(
+        self,
+        service: Service,
+        pool: UpstreamPool,
+        *,
+        clock: Callable[[], float],
+        random: random_module.Random,
+    ) -> None:
+        self._service = service
+        self._pool = pool
+        self._clock = clock
+        self._random = random
+        self._queues = {
+            entry.name: _Queue(entry=entry) for entry in service.entries
+        }
+        self._waiting = 0
+        self._turns = 0
+        self._service_time = 0.0
+        self._slots = pool.count_usable()
+        self._closed = False
+
+    async def admit(
+        self,
+        entry: Entry,
+        *,
+        deadline: float,
+        exclude: Iterable[str] = (),
+    ) -> Result[Admission, Refusal]:
+        """Wait for a slot until ``deadline``.
+
+        Does not pass a checkpoint when the outcome is known at once.
+        """
+        event = trio.Event()
+        waiter = self.enqueue(
+            entry, deadline=deadline, exclude=exclude, notify=event.set
+        )
+        if waiter.outcome is not None:
+            return waiter.outcome
+        try:
+            with trio.move_on_after(max(0.0, deadline - self._clock())):
+                await event.wait()
+        except BaseException:
+            # A grant may have been made in the same instant as the
+            # cancellation; its slot goes to the next request.
+            self.withdraw(waiter)
+            raise
+        if waiter.outcome is None:
+            self._settle(waiter, Err(self._refuse(Reason.DEADLINE)))
+        elif waiter.outcome.is_ok() and self._clock() >= deadline:
+            self.withdraw(waiter)
+            return Err(self._refuse(Reason.DEADLINE))
+        assert waiter.outcome is not None
+        return waiter.outcome
+
+    def enqueue(
+        self,
+        entry: Entry,
+        *,
+        deadline: float,
+        exclude: Iterable[str] = (),
+        notify: Callable[[], None] | None = None,
+    ) -> Waiter:
+        """Admit, queue or refuse a request without waiting."""
+        now = self._clock()
+        waiter = Waiter(
+            entry=entry.name,
+            deadline=deadline,
+            arrived=now,
+            exclude=frozenset(exclude),
+        )
+        queue = self._find(entry)
+        refusal = self._check(queue, waiter, now)
+        if refusal is not None:
+            waiter.outcome = Err(refusal)
+            return waiter
+        if not self._waiting:
+            upstream = self._pool.take(waiter.exclude)
+            if upstream is not None:
+                self._grant(queue, waiter, upstream, now)
+                return waiter
+        refusal = self._make_room(queue, waiter, now)
+        if refusal is not None:
+            waiter.outcome = Err(refusal)
+            return waiter
+        queue.waiting[id(waiter)] = waiter
+        self._waiting += 1
+        self._dispatch()
+        waiter.notify = notify
+        return waiter
+
+    def withdraw(self, waiter: Waiter) -> None:
+        """Drop a request; a slot granted to it goes to the next one."""
+        if waiter.outcome is None:
+            self._remove(waiter)
+        elif isinstance(waiter.outcome, Ok):
+            waiter.outcome.ok_value.release()
+
+    def kick(self) -> None:
+        """Use slots that became free by a change of standing or division."""
+        self._slots = self._pool.count_usable()
+        self._dispatch()
+
+    def update_service(self, service: Service) -> None:
+        """Apply a new revision; waiting requests keep their places."""
+        self._service = service
+        listed = {entry.name: entry for entry in service.entries}
+        for name, queue in list(self._queues.items()):
+            queue.listed = name in listed
+            if queue.listed:
+                queue.entry = listed[name]
+            else:
+                self._discard(name)
+        for name, entry in listed.items():
+            if name not in self._queues:
+                self._queues[name] = _Queue(entry=entry)
+        self.kick()
+
+    def close(self) -> None:
+        """Refuse waiting and future requests; running ones finish."""
+        self._closed = True
+        for queue in list(self._queues.values()):
+            for waiter in list(queue.waiting.values()):
+                self._settle(waiter, Err(self._refuse(Reason.CLOSING)))
+
+    def count_waiting(self) -> int:
+        """Return the number of waiting requests."""
+        return self._waiting
+
+    def count_demand(self) -> dict[Rank, int]:
+        """Return running and waiting requests by rank."""
+        demand = dict.fromkeys(Rank, 0)
+        for queue in self._queues.values():
+            demand[queue.entry.rank] += queue.running + len(queue.waiting)
+        return demand
+
+    def _find(self, entry: Entry) -> _Queue:
+        queue = self._queues.get(entry.name)
+        if queue is None:
+            # The request was matched under a revision just replaced.
+            queue = _Queue(entry=entry, listed=False)
+            self._queues[entry.name] = queue
+        return queue
+
+    def _check(
+        self, queue: _Queue, waiter: Waiter, now: float
+    ) -> Refusal | None:
+        if self._closed:
+            return self._refuse(Reason.CLOSING)
+        if now >= waiter.deadline:
+            return self._refuse(Reason.DEADLINE)
+        if not self._pool.has_candidate(waiter.exclude):
+            return self._refuse(Reason.NO_UPSTREAM)
+        return None
+
+    def _make_room(
+        self, queue: _Queue, waiter: Waiter, now: float
+    ) -> Refusal | None:
+        entry = queue.entry
+        if now + self._estimate_wait(queue) > waiter.deadline:
+            return self._refuse(
+                Reason.DEADLINE, f"deadline_ms={entry.deadline_ms}"
+            )
+        if len(queue.waiting) >= entry.queue_limit:
+            return self._refuse(
+                Reason.QUEUE_FULL, f"queue_limit={entry.queue_limit}"
+            )
+        limit = self._service.queue_limit
+        if self._waiting < limit:
+            return None
+        text = f"service queue_limit={limit}"
+        victim = self._find_victim(queue)
+        if victim is queue or not victim.waiting:
+            return self._refuse(Reason.QUEUE_FULL, text)
+        newest = victim.waiting[next(reversed(victim.waiting))]
+        self._settle(newest, Err(self._refuse(Reason.DISPLACED, text)))
+        return None
+
+    def _find_victim(self, arriving: _Queue) -> _Queue:
+        """Return the entry that gives up a place for a new request.
+
+        Entries that wait beyond their share of the queue come first, then
+        those of the lowest rank, then those with the most per share.
+        """
+        limit = self._service.queue_limit
+
+        def excess(queue: _Queue) -> tuple[bool, Rank, float]:
+            count = len(queue.waiting) + (queue is arriving)
+            beyond = count > queue.entry.share * limit
+            return beyond, queue.entry.rank, count / queue.share
+
+        candidates = [
+            queue
+            for queue in self._queues.values()
+            if queue.waiting or queue is arriving
+        ]
+        return max(candidates, key=excess)
+
+    def _estimate_wait(self, queue: _Queue) -> float:
+        """Return the expected wait of a new request of the entry.
+
+        Requests of a lower class and of other entries beyond their turn are
+        not counted, so that the estimate never refuses what would be served.
+        """
+        if not self._slots:
+            return 0.0
+        own = queue.classify(self._slots)
+        ahead = len(queue.waiting) + 1
+        for other in self._queues.values():
+            if other is not queue and other.classify(self._slots) < own:
+                ahead += len(other.waiting)
+        return ahead * self._service_time / self._slots
+
+    def _dispatch(self) -> None:
+        """Grant free slots until none is left or none can be used."""
+        failed: set[frozenset[str]] = set()
+        while self._waiting and frozenset() not in failed:
+            waiter = None
+            upstream = None
+            for queue in self._sort_queues():
+                for waiter in queue.waiting.values():
+                    if waiter.exclude in failed:
+                        continue
+                    upstream = self._pool.take(waiter.exclude)
+                    if upstream is not None:
+                        break
+                    failed.add(waiter.exclude)
+                    if not waiter.exclude:
+                        return
+                if upstream is not None:
+                    break
+            if waiter is None or upstream is None:
+                return
+            now = self._clock()
+            if now >= waiter.deadline:
+                self._pool.release(upstream.upstream_id)
+                self._settle(waiter, Err(self._refuse(Reason.DEADLINE)))
+            else:
+                self._grant(queue, waiter, upstream, now)
+
+    def _sort_queues(self) -> list[_Queue]:
+        waiting = [queue for queue in self._queues.values() if queue.waiting]
+        return sorted(waiting, key=lambda queue: queue.order(self._slots))
+
+    def _grant(
+        self, queue: _Queue, waiter: Waiter, upstream: Upstream, now: float
+    ) -> None:
+        name = waiter.entry
+        queue.running += 1
+        self._turns += 1
+        queue.turn = self._turns
+
+        def release() -> None:
+            self._pool.release(upstream.upstream_id)
+            queue.running -= 1
+            self._record_service_time(self._clock() - now)
+            self._discard(name)
+            self._dispatch()
+
+        admission = Admission(
+            upstream=upstream, waited=now - waiter.arrived, release=release
+        )
+        self._settle(waiter, Ok(admission))
+
+    def _settle(
+        self, waiter: Waiter, outcome: Result[Admission, Refusal]
+    ) -> None:
+        self._remove(waiter)
+        waiter.outcome = outcome
+        if waiter.notify is not None:
+            waiter.notify()
+
+    def _remove(self, waiter: Waiter) -> None:
+        queue = self._queues[waiter.entry]
+        if queue.waiting.pop(id(waiter), None) is not None:
+            self._waiting -= 1
+            self._discard(waiter.entry)
+
+    def _discard(self, name: str) -> None:
+        """Forget an entry that is no longer in the catalogue when unused."""
+        queue = self._queues.get(name)
+        if queue and not (queue.listed or queue.waiting or queue.running):
+            del self._queues[name]
+
+    def _record_service_time(self, seconds: float) -> None:
+        if self._service_time:
+            self._service_time += _SMOOTHING * (seconds - self._service_time)
+        else:
+            self._service_time = seconds
+
+    def _refuse(self, reason: Reason, limit: str = "") -> Refusal:
+        backlog = 0.0
+        if self._slots:
+            backlog = self._waiting * self._service_time / self._slots
+        base = max(_RETRY_AFTER_S, backlog)
+        return Refusal(
+            reason=reason,
+            # The spread keeps refused callers from returning together.
+            retry_after=base * self._random.uniform(1.0, 2.0),
+            limit=limit,
+        )
--- /dev/null
+++ b/src/hawthornmast/limits/pool.py
@@ -0,0 +1,167 @@
+"""Upstream slots that this daemon may use."""
+
+from collections.abc import Callable
+from collections.abc import Container
+from collections.abc import Iterable
+from collections.abc import Mapping
+import random as random_module
+
+import attrs
+
+from hawthornmast.catalogue import Service
+from hawthornmast.common import State
+from hawthornmast.common import Upstream
+from hawthornmast.health import Standing
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Member:
+    """One upstream with the slots allowed and in use."""
+
+    upstream: Upstream
+    allowed: int = 0
+    in_use: int = 0
+    listed: bool = True
+
+    def count_usable(self, standing: Standing) -> int:
+        """Return the slots that may be in use at this moment."""
+        if (
+            not self.listed
+            or self.upstream.state is State.LEAVING
+            or standing.ejected
+        ):
+            return 0
+        allowed = min(self.allowed, self.upstream.slots)
+        if standing.weight >= 1.0 or allowed <= 0:
+            return max(allowed, 0)
+        # One slot stays usable so that trial requests reach the upstream.
+        return max(1, int(allowed * standing.weight))
+
+
+class UpstreamPool:
+    """Selects upstreams and counts the slots in use.
+
+    Parameters
+    ----------
+    service
+        Service that the upstreams serve.
+    standing
+        Returns the current standing of an upstream.
+    random
+        Source of the choice among equally used upstreams.
+    zone
+        Zone of this daemon; among equally used upstreams those in it are
+        preferred.
+    """
+
+    def __init__(
+        self,
+        service: Service,
+        *,
+        standing: Callable[[str], Standing],
+        random: random_module.Random,
+        zone: str = "",
+    ) -> None:
+        self.service = service
+        self._standing = standing
+        self._random = random
+        self._zone = zone
+        self._members: dict[str, _Member] = {}
+        self._allowed: dict[str, int] = {}
+
+    def update(self, upstreams: Iterable[Upstream]) -> None:
+        """Replace the list; requests on removed upstreams may finish."""
+        listed = {item.upstream_id: item for item in upstreams}
+        for key, member in list(self._members.items()):
+            if key not in listed:
+                member.listed = False
+                if not member.in_use:
+                    del self._members[key]
+        for key, upstream in listed.items():
+            known = self._members.get(key)
+            if known is None:
+                self._members[key] = _Member(
+                    upstream=upstream, allowed=self._allowed.get(key, 0)
+                )
+            else:
+                known.upstream = upstream
+                known.listed = True
+
+    def set_allowed(self, allowed: Mapping[str, int]) -> None:
+        """Replace the slots this daemon may use; absent means none."""
+        for key, slots in allowed.items():
+            if slots < 0:
+                raise ValueError(
+                    f"slots of {key!r} must be 0 or more, got {slots}"
+                )
+        self._allowed = dict(allowed)
+        for key, member in self._members.items():
+            member.allowed = self._allowed.get(key, 0)
+
+    def take(self, exclude: Container[str] = ()) -> Upstream | None:
+        """Take a slot of the least used upstream outside ``exclude``."""
+        best_key: tuple[bool, float, bool] | None = None
+        best: list[_Member] = []
+        for upstream_id, member in self._members.items():
+            # The cheap test precedes the call, since most members of a
+            # loaded pool have no free slot.
+            if member.in_use >= member.allowed or upstream_id in exclude:
+                continue
+            standing = self._standing(upstream_id)
+            usable = member.count_usable(standing)
+            if member.in_use >= usable:
+                continue
+            key = (
+                standing.avoided,
+                member.in_use / usable,
+                member.upstream.zone != self._zone,
+            )
+            if best_key is None or key < best_key:
+                best_key, best = key, [member]
+            elif key == best_key:
+                best.append(member)
+        if not best:
+            return None
+        chosen = best[0] if len(best) == 1 else self._random.choice(best)
+        chosen.in_use += 1
+        return chosen.upstream
+
+    def release(self, upstream_id: str) -> None:
+        """Give back one slot taken before."""
+        member = self._members.get(upstream_id)
+        if member is None or member.in_use <= 0:
+            raise ValueError(
+                f"release of {upstream_id!r}, which has no slot in use"
+            )
+        member.in_use -= 1
+        if not member.listed and not member.in_use:
+            del self._members[upstream_id]
+
+    def count_free(self, exclude: Container[str] = ()) -> int:
+        """Return the slots that ``take`` could take now."""
+        return sum(
+            max(0, member.count_usable(self._standing(key)) - member.in_use)
+            for key, member in self._members.items()
+            if key not in exclude
+        )
+
+    def count_usable(self) -> int:
+        """Return the slots that may be in use now, free or not."""
+        return sum(
+            member.count_usable(self._standing(key))
+            for key, member in self._members.items()
+        )
+
+    def has_candidate(self, exclude: Container[str] = ()) -> bool:
+        """Tell whether any upstream may serve, whatever its free slots."""
+        return any(
+            member.listed
+            and member.upstream.state is not State.LEAVING
+            and key not in exclude
+            and not self._standing(key).ejected
+            for key, member in self._members.items()
+        )
+
+    def in_use(self) -> dict[str, int]:
+        """Return the slots in use by upstream."""
+        return {key: item.in_use for key, item in self._members.items()}
--- /dev/null
+++ b/src/hawthornmast/limits/tests/test_dispatcher.py
@@ -0,0 +1,217 @@
+"""Tests of the dispatcher."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+import trio
+import trio.testing
+
+from hawthornmast.catalogue import Entry
+from hawthornmast.catalogue import Service
+from hawthornmast.common import Rank
+from hawthornmast.common import Upstream
+from hawthornmast.health import Standing
+from hawthornmast.limits import Dispatcher
+from hawthornmast.limits import Reason
+from hawthornmast.limits import UpstreamPool
+
+URGENT = Entry(name="urgent", owner="a", rank=Rank.URGENT, share=0.5)
+PAGES = Entry(name="pages", owner="b", rank=Rank.BACKGROUND, share=0.25)
+READS = Entry(name="reads", owner="c", rank=Rank.BACKGROUND, share=0.25)
+SERVICE = Service(
+    name="s", owner="o", queue_limit=6, entries=(URGENT, PAGES, READS)
+)
+
+
+class _Bench:
+    """A dispatcher on a settable clock over two upstreams."""
+
+    def __init__(self, slots=2, service=SERVICE, clock=None):
+        self.now = 0.0
+        self.standings = {}
+        self.pool = UpstreamPool(
+            service,
+            standing=lambda key: self.standings.get(key, Standing()),
+            random=random.Random(1),
+        )
+        self.pool.update(
+            Upstream(
+                upstream_id=f"u{n}", zone="z", host="::1", port=1, slots=slots
+            )
+            for n in range(2)
+        )
+        self.pool.set_allowed({"u0": slots, "u1": slots})
+        self.dispatcher = Dispatcher(
+            service,
+            self.pool,
+            clock=clock or (lambda: self.now),
+            random=random.Random(2),
+        )
+
+    def offer(self, entry, deadline=100.0, exclude=()):
+        return self.dispatcher.enqueue(
+            entry, deadline=deadline, exclude=exclude
+        )
+
+
+def _reason(waiter):
+    return waiter.outcome.unwrap_err().reason
+
+
+class TestOrder:
+    def test_within_limit_by_rank_then_beyond(self):
+        # Guards against starvation by a flood of the top rank.
+        bench = _Bench()
+        running = [bench.offer(URGENT) for _ in range(4)]
+        urgent = bench.offer(URGENT)
+        pages = bench.offer(PAGES)
+        running[0].outcome.unwrap().release()
+        assert pages.outcome.is_ok() and urgent.outcome is None
+        running[1].outcome.unwrap().release()
+        assert urgent.outcome.is_ok()
+
+    def test_one_class_takes_turns_by_use_per_share(self):
+        bench = _Bench()
+        running = [bench.offer(URGENT) for _ in range(4)]
+        waiting = [bench.offer(PAGES) for _ in range(3)]
+        waiting += [bench.offer(READS) for _ in range(2)]
+        for item in running[:2]:
+            item.outcome.unwrap().release()
+        assert [item.outcome is not None for item in waiting] == [
+            True,
+            False,
+            False,
+            True,
+            False,
+        ]
+
+
+class TestRefusal:
+    def test_displaces_newest_excess_of_the_lowest_rank(self):
+        bench = _Bench()
+        for _ in range(4):
+            bench.offer(URGENT)
+        pages = [bench.offer(PAGES) for _ in range(6)]
+        assert bench.offer(URGENT).outcome is None
+        assert _reason(pages[-1]) is Reason.DISPLACED
+        assert _reason(bench.offer(PAGES)) is Reason.QUEUE_FULL
+
+    @pytest.mark.parametrize(
+        ("change", "reason"),
+        [
+            (lambda b: b.dispatcher.close(), Reason.CLOSING),
+            (lambda b: setattr(b, "now", 100.0), Reason.DEADLINE),
+            (lambda b: b.pool.update([]), Reason.NO_UPSTREAM),
+        ],
+    )
+    def test_refuses_at_once(self, change, reason):
+        bench = _Bench()
+        change(bench)
+        refusal = bench.offer(URGENT).outcome.unwrap_err()
+        assert refusal.reason is reason and refusal.retry_after > 0
+
+    def test_refuses_a_wait_beyond_the_deadline(self):
+        bench = _Bench()
+        running = [bench.offer(URGENT) for _ in range(5)]
+        bench.now = 10.0
+        running[0].outcome.unwrap().release()
+        assert _reason(bench.offer(URGENT, deadline=12.0)) is Reason.DEADLINE
+        assert bench.offer(URGENT, deadline=13.0).outcome is None
+
+    def test_new_revision_keeps_waiting_requests(self):
+        bench = _Bench()
+        running = [bench.offer(URGENT) for _ in range(4)]
+        pages = bench.offer(PAGES)
+        bench.dispatcher.update_service(
+            Service(name="s", owner="o", entries=(URGENT,))
+        )
+        running[0].outcome.unwrap().release()
+        assert pages.outcome.is_ok()
+        pages.outcome.unwrap().release()
+        assert bench.pool.count_free() == 1
+
+
+class TestAdmit:
+    @pytest.mark.parametrize("grant_first", [True, False])
+    async def test_cancellation_at_the_instant_of_a_grant(
+        self, nursery, grant_first
+    ):
+        # Guards against a slot lost to a task that was cancelled.
+        bench = _Bench(slots=1, clock=trio.current_time)
+        deadline = trio.current_time() + 60
+        held = [bench.offer(URGENT, deadline=deadline) for _ in range(2)]
+        scope = trio.CancelScope()
+        got = []
+
+        async def wait():
+            with scope:
+                admission = await bench.dispatcher.admit(
+                    PAGES, deadline=deadline
+                )
+                got.append(admission.unwrap())
+
+        nursery.start_soon(wait)
+        await trio.testing.wait_all_tasks_blocked()
+        steps = [held[0].outcome.unwrap().release, scope.cancel]
+        for step in steps if grant_first else reversed(steps):
+            step()
+        await trio.testing.wait_all_tasks_blocked()
+        for admission in got:
+            admission.release()
+        assert bench.dispatcher.count_waiting() == 0
+        assert bench.pool.count_free() == 1
+
+    async def test_deadline_while_waiting(self, autojump_clock):
+        bench = _Bench(slots=1, clock=trio.current_time)
+        deadline = trio.current_time() + 2
+        for _ in range(2):
+            bench.offer(URGENT, deadline=deadline)
+        refused = await bench.dispatcher.admit(PAGES, deadline=deadline)
+        assert refused.unwrap_err().reason is Reason.DEADLINE
+        assert trio.current_time() == pytest.approx(deadline)
+        assert bench.dispatcher.count_waiting() == 0
+
+
+STEP = st.tuples(
+    st.sampled_from(["offer", "release", "withdraw", "eject", "allow"]),
+    st.integers(0, 50),
+)
+
+
+class TestInvariants:
+    @given(st.lists(STEP, max_size=60))
+    def test_no_usable_slot_is_free_while_a_request_waits(self, steps):
+        bench = _Bench()
+        waiters = []
+        for kind, n in steps:
+            bench.now += 0.01
+            running = [w for w in waiters if w.outcome and w.outcome.is_ok()]
+            queued = [w for w in waiters if w.outcome is None]
+            if kind == "offer":
+                waiters.append(
+                    bench.offer(
+                        SERVICE.entries[n % 3],
+                        exclude={"u0"} if n % 5 == 0 else (),
+                    )
+                )
+            elif kind == "release" and running:
+                chosen = running[n % len(running)]
+                waiters.remove(chosen)
+                chosen.outcome.unwrap().release()
+            elif kind == "withdraw" and queued:
+                bench.dispatcher.withdraw(queued[n % len(queued)])
+                waiters.remove(queued[n % len(queued)])
+            elif kind == "eject":
+                bench.standings["u1"] = Standing(ejected=n % 2 == 0)
+                bench.dispatcher.kick()
+            elif kind == "allow":
+                bench.pool.set_allowed({"u0": n % 3, "u1": 2})
+                bench.dispatcher.kick()
+            queued = [w for w in waiters if w.outcome is None]
+            assert len(queued) == bench.dispatcher.count_waiting() <= 6
+            for waiter in queued:
+                assert bench.pool.count_free(waiter.exclude) == 0
+            running = [w for w in waiters if w.outcome and w.outcome.is_ok()]
+            assert sum(bench.pool.in_use().values()) == len(running)
