Add the slot allocator and its simulation on a virtual clock

A slot moves only after its former holder reported that it neither may use nor uses it, and a member that can't be confirmed keeps its static share reserved. Lending out the static share of a silent member was ruled out: the allocator can't tell a killed member from one that is cut off and returns to its static share. The cost is that share idle until the list drops it.

A busy member gives up slots only for a deficit of an eighth of a target, because a moved slot is idle until its new owner hears of it.

--- a/src/hawthornmast/limits/__init__.py
+++ b/src/hawthornmast/limits/__init__.py
@@ -3,9 +3,12 @@
 from hawthornmast.limits.admission import Admission
 from hawthornmast.limits.admission import Reason
 from hawthornmast.limits.admission import Refusal
+from hawthornmast.limits.allocator import SlotAllocator
 from hawthornmast.limits.budget import RetryBudget
 from hawthornmast.limits.dispatcher import Dispatcher
 from hawthornmast.limits.division import divide_statically
+from hawthornmast.limits.messages import SlotDemand
+from hawthornmast.limits.messages import SlotGrant
 from hawthornmast.limits.pool import UpstreamPool
 
 __all__ = [
@@ -14,6 +17,9 @@
     "Reason",
     "Refusal",
     "RetryBudget",
+    "SlotAllocator",
+    "SlotDemand",
+    "SlotGrant",
     "UpstreamPool",
     "divide_statically",
 ]
--- a/src/hawthornmast/limits/dispatcher.py
+++ b/src/hawthornmast/limits/dispatcher.py
@@ -107,6 +107,7 @@
         self._service_time = 0.0
         self._slots = pool.count_usable()
         self._closed = False
+        self._dispatching = False
 
     async def admit(
         self,
@@ -301,6 +302,16 @@
 
     def _dispatch(self) -> None:
         """Grant free slots until none is left or none can be used."""
+        if self._dispatching:
+            # The pool's check changed the slots; the outer call goes on.
+            return
+        self._dispatching = True
+        try:
+            self._grant_free()
+        finally:
+            self._dispatching = False
+
+    def _grant_free(self) -> None:
         failed: set[frozenset[str]] = set()
         while self._waiting and frozenset() not in failed:
             waiter = None
--- a/src/hawthornmast/limits/pool.py
+++ b/src/hawthornmast/limits/pool.py
@@ -52,6 +52,9 @@
     zone
         Zone of this daemon; among equally used upstreams those in it are
         preferred.
+    check
+        Called before each selection, so that slots whose term ended while
+        the process was paused are not used.
     """
 
     def __init__(
@@ -61,11 +64,13 @@
         standing: Callable[[str], Standing],
         random: random_module.Random,
         zone: str = "",
+        check: Callable[[], None] | None = None,
     ) -> None:
         self.service = service
         self._standing = standing
         self._random = random
         self._zone = zone
+        self._check = check
         self._members: dict[str, _Member] = {}
         self._allowed: dict[str, int] = {}
 
@@ -100,6 +105,8 @@
 
     def take(self, exclude: Container[str] = ()) -> Upstream | None:
         """Take a slot of the least used upstream outside ``exclude``."""
+        if self._check is not None:
+            self._check()
         best_key: tuple[bool, float, bool] | None = None
         best: list[_Member] = []
         for upstream_id, member in self._members.items():
