Add the published lists and placement by rendezvous hashing

Owners, readers and neighbours depend only on the published list, so daemons with the same list agree without messages. Removing a leaving peer from placement on its own notice was ruled out, since daemons would then disagree on the group.

--- /dev/null
+++ b/src/hawthornmast/membership/__init__.py
@@ -0,0 +1,19 @@
+"""Published lists of instances and placement computed from them."""
+
+from hawthornmast.membership.directory import Directory
+from hawthornmast.membership.lists import parse_daemons
+from hawthornmast.membership.lists import parse_upstreams
+from hawthornmast.membership.placement import neighbours_of
+from hawthornmast.membership.placement import owners_of
+from hawthornmast.membership.placement import readers_of
+from hawthornmast.membership.placement import score
+
+__all__ = [
+    "Directory",
+    "neighbours_of",
+    "owners_of",
+    "parse_daemons",
+    "parse_upstreams",
+    "readers_of",
+    "score",
+]
--- /dev/null
+++ b/src/hawthornmast/membership/placement.py
@@ -0,0 +1,103 @@
+"""Placement of services, readers and neighbours by rendezvous hashing.
+
+Each function depends only on the published list, never on its order, so that
+daemons with the same list compute the same placement.
+"""
+
+from collections.abc import Iterable
+import hashlib
+import heapq
+
+from hawthornmast.common import Instance
+from hawthornmast.common import State
+
+READERS_PER_ZONE = 2
+"""Two, so that one lost reader doesn't delay a zone's changes."""
+
+_CHORD_BASE = 4
+_RING = "hawthornmast/ring"
+_READERS = "hawthornmast/readers"
+
+
+def score(name: str, instance_id: str) -> int:
+    """Return the rendezvous hash of a name and an instance."""
+    # A zero byte can't occur in either, so no two pairs share a text.
+    text = f"{name}\0{instance_id}".encode()
+    digest = hashlib.blake2b(text, digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def _rank(name: str, daemon: Instance) -> tuple[int, str]:
+    return score(name, daemon.instance_id), daemon.instance_id
+
+
+def owners_of(
+    service_name: str, daemons: Iterable[Instance], *, per_zone: int = 1
+) -> tuple[Instance, ...]:
+    """Return the live daemons that serve a service, in hash order.
+
+    Parameters
+    ----------
+    service_name
+        Name of the service.
+    daemons
+        The published list.
+    per_zone
+        Daemons selected in each zone.
+    """
+    if per_zone < 1:
+        raise ValueError(f"per_zone is {per_zone}, allowed: 1 or more")
+    zones: dict[str, list[tuple[tuple[int, str], Instance]]] = {}
+    for daemon in daemons:
+        if daemon.state is State.LIVE:
+            ranked = (_rank(service_name, daemon), daemon)
+            zones.setdefault(daemon.zone, []).append(ranked)
+    chosen: list[tuple[tuple[int, str], Instance]] = []
+    for members in zones.values():
+        chosen += heapq.nlargest(per_zone, members, key=lambda pair: pair[0])
+    chosen.sort(key=lambda pair: pair[0], reverse=True)
+    return tuple(daemon for _, daemon in chosen)
+
+
+def readers_of(daemons: Iterable[Instance]) -> tuple[Instance, ...]:
+    """Return the daemons that watch the platform."""
+    return owners_of(_READERS, daemons, per_zone=READERS_PER_ZONE)
+
+
+def neighbours_of(
+    instance: Instance, daemons: Iterable[Instance]
+) -> tuple[Instance, ...]:
+    """Return the daemons that a daemon exchanges configuration with.
+
+    They are those at distances 1, 4, 16, ... after it and at distance 1
+    before it on the ring of its zone, and one in each other zone. Leaving
+    daemons keep their neighbours but are no neighbours of others.
+    """
+    zones: dict[str, list[tuple[tuple[int, str], Instance]]] = {}
+    for daemon in daemons:
+        if daemon.instance_id == instance.instance_id:
+            continue
+        if daemon.state is State.LIVE:
+            ranked = (_rank(_RING, daemon), daemon)
+            zones.setdefault(daemon.zone, []).append(ranked)
+    found: dict[str, Instance] = {}
+    own = _rank(_RING, instance)
+    ring = sorted(zones.pop(instance.zone, []), key=lambda pair: pair[0])
+    if ring:
+        position = sum(rank < own for rank, _ in ring)
+        # The instance itself isn't in the list, so the daemon at distance
+        # d after it has the index position + d - 1.
+        offsets = [-1]
+        distance = 1
+        while distance <= len(ring):
+            offsets.append(distance - 1)
+            distance *= _CHORD_BASE
+        for offset in offsets:
+            daemon = ring[(position + offset) % len(ring)][1]
+            found[daemon.instance_id] = daemon
+    for _, members in sorted(zones.items()):
+        # The next daemon after this one's hash spreads the links evenly.
+        after = [pair for pair in members if pair[0] > own] or members
+        daemon = min(after, key=lambda pair: pair[0])[1]
+        found[daemon.instance_id] = daemon
+    return tuple(found.values())
