--- /dev/null
+++ b/src/hawthornmast/daemon/member.py
@@ -0,0 +1,345 @@
+"""One member of the fleet."""
+
+import logging
+import random
+import secrets
+from typing import Any
+
+import trio
+
+from hawthornmast.administration import AdministrationServer
+from hawthornmast.administration import Direction
+from hawthornmast.administration import Metrics
+from hawthornmast.administration import RequestLog
+from hawthornmast.audit import Act
+from hawthornmast.audit import AuditTrail
+from hawthornmast.audit import log_event
+from hawthornmast.configuration import ConfigurationStore
+from hawthornmast.configuration import Distributor
+from hawthornmast.configuration import PlatformClient
+from hawthornmast.daemon import messages
+from hawthornmast.daemon.explanation import Explanation
+from hawthornmast.daemon.reports import Reporter
+from hawthornmast.daemon.runtime import Links
+from hawthornmast.daemon.services import Services
+from hawthornmast.daemon.services import SERVICES_PREFIX
+from hawthornmast.daemon.services import validate_document
+from hawthornmast.forwarding import ClientLimits
+from hawthornmast.forwarding import ClientServer
+from hawthornmast.forwarding import TicketBook
+from hawthornmast.forwarding import UpstreamClient
+from hawthornmast.health import MESSAGE_TYPES as HEALTH_MESSAGES
+from hawthornmast.limits import SlotDemand
+from hawthornmast.limits import SlotGrant
+from hawthornmast.membership import Directory
+from hawthornmast.membership.directory import DAEMONS_KEY
+from hawthornmast.membership.directory import UPSTREAMS_PREFIX
+from hawthornmast.peers import PeerNetwork
+from hawthornmast.settings import Settings
+
+_LOG = logging.getLogger("hawthornmast.daemon")
+
+TICK_S = 0.1
+"""Period of health and slot division, a tenth of the detection target."""
+
+SMALL_FLEET_SERVICES = 256
+"""Up to this many services every daemon keeps all catalogue documents.
+
+Above it a daemon keeps those that it may have to serve.
+"""
+
+CANDIDATES_PER_ZONE = 8
+"""Daemons in each zone that keep the document of a service."""
+
+
+class Daemon:
+    """A member of the fleet, assembled from the slices.
+
+    Parameters
+    ----------
+    settings
+        Settings of this process.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.instance = settings.instance.to_instance()
+        self.incarnation = secrets.randbits(64)
+        self._random = random.Random(self.incarnation)
+        self._leaving = False
+        self._stopped = trio.Event()
+        self._groups: frozenset[tuple[str, ...]] = frozenset()
+        self.audit = AuditTrail(capacity=settings.limits.audit_records)
+        self.metrics = Metrics()
+        self.requests = RequestLog(capacity=settings.limits.request_records)
+        self.directory = Directory(self_id=self.instance.instance_id)
+        self.network = PeerNetwork(
+            instance=self.instance,
+            incarnation=self.incarnation,
+            secrets=settings.peers.secrets,
+        )
+        self.services = Services(
+            directory=self.directory,
+            links=Links(
+                instance=self.instance,
+                post=self.network.post,
+                reachable=self.network.reachable,
+                audit=self.audit,
+                random=self._random,
+            ),
+            is_reachable=self.network.reachable,
+            on_forgotten=self.metrics.forget_service,
+        )
+        self.store = ConfigurationStore(
+            validate=validate_document,
+            on_accepted=self._apply_document,
+            audit=self.audit,
+        )
+        self.distributor = self._make_distributor()
+        self.server = self._make_server()
+        self.administration = self._make_administration()
+
+    def _make_distributor(self) -> Distributor:
+        platform = self.settings.platform
+        return Distributor(
+            store=self.store,
+            platform=PlatformClient.connect(platform.host, platform.port),
+            post=self.network.post,
+            ask=self.network.ask,
+            is_needed=self._is_needed,
+            holders=self._find_holders,
+            random_source=self._random,
+        )
+
+    def _make_server(self) -> ClientServer:
+        limits = self.settings.limits
+        reporter = Reporter(
+            services=self.services,
+            requests=self.requests,
+            metrics=self.metrics,
+            audit=self.audit,
+        )
+        return ClientServer(
+            self.services,
+            TicketBook(
+                self.instance.instance_id,
+                self.incarnation,
+                lifetime_s=limits.ticket_ttl_ms / 1000,
+                max_records=limits.max_tickets,
+            ),
+            UpstreamClient(),
+            host=self.instance.host,
+            port=self.instance.port,
+            limits=ClientLimits(
+                connections=limits.max_connections,
+                header_bytes=limits.max_header_bytes,
+                body_bytes=limits.max_body_bytes,
+                idle_s=limits.idle_timeout_ms / 1000,
+                header_s=limits.header_timeout_ms / 1000,
+                body_s=limits.body_timeout_ms / 1000,
+            ),
+            peer_secrets=[
+                secret.encode() for secret in self.settings.peers.secrets
+            ],
+            on_finished=reporter.report,
+            on_bad_input=reporter.count_bad_input,
+        )
+
+    def _make_administration(self) -> AdministrationServer:
+        explanation = Explanation(
+            instance=self.instance,
+            incarnation=self.incarnation,
+            services=self.services,
+            directory=self.directory,
+            network=self.network,
+            store=self.store,
+            is_ready=lambda: self.distributor.is_ready,
+            is_leaving=lambda: self._leaving,
+        )
+        return AdministrationServer(
+            self.settings.instance.admin_host,
+            self.settings.instance.admin_port,
+            status=explanation.describe_status,
+            explain_upstream=explanation.describe_upstream,
+            explain_entry=explanation.describe_entry,
+            requests=self.requests,
+            trail=self.audit,
+            registry=self.metrics.registry,
+        )
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Open all ports once the configuration is known.
+
+        The clients' port opens last: a daemon that might hold an older
+        revision than its peers answers nobody.
+        """
+        self._register_messages()
+        self.network.watch(self._note_peer)
+        self.directory.watch(self._note_list)
+        await self.administration.start(nursery)
+        await self.network.start(nursery)
+        await self.distributor.start(nursery)
+        nursery.start_soon(self._tick_forever)
+        await self.distributor.ready()
+        await self.server.start(nursery)
+        log_event(
+            _LOG,
+            "daemon-started",
+            instance=self.instance.instance_id,
+            zone=self.instance.zone,
+            port=self.server.port,
+            services=len(self.services.known),
+        )
+
+    async def drain(self) -> None:
+        """Leave the fleet; cut no request in flight."""
+        if self._leaving:
+            return
+        self._leaving = True
+        self.audit.append(
+            Act.DRAIN,
+            evidence=f"connections={self.server.connections}",
+            limit=f"drain_grace_ms={self.settings.limits.drain_grace_ms}",
+            step="begin",
+        )
+        notice = messages.DaemonLeaving(incarnation=self.incarnation)
+        for peer_id in self.network.connected():
+            self.network.post(peer_id, notice)
+        self.directory.note_leaving(self.instance.instance_id)
+        self.server.begin_drain()
+        await self.server.finish(self.settings.limits.drain_grace_ms / 1000)
+        self.audit.append(Act.DRAIN, step="end")
+
+    async def close(self) -> None:
+        """Close all ports and streams; requests in flight are cut."""
+        self._stopped.set()
+        await self.server.close()
+        await self.distributor.close()
+        await self.network.close()
+        await self.administration.close()
+
+    def _register_messages(self) -> None:
+        register = self.network.register
+        register(SlotDemand, self._handle_for_allocator)
+        register(SlotGrant, self._handle_for_allocator)
+        for message_type in HEALTH_MESSAGES:
+            register(message_type, self._handle_for_monitor)
+        register(messages.DaemonLeaving, self._handle_daemon_leaving)
+        register(messages.UpstreamLeaving, self._handle_upstream_leaving)
+        self.distributor.register(register)
+
+    def _handle_for_allocator(self, message: Any, sender: str) -> None:
+        runtime = self.services.runtime(message.service)
+        if runtime is not None:
+            runtime.allocator.handle(message, sender)
+
+    def _handle_for_monitor(self, message: Any, sender: str) -> None:
+        runtime = self.services.runtime(message.service)
+        if runtime is not None:
+            runtime.monitor.handle(message, sender)
+
+    def _handle_daemon_leaving(
+        self, message: messages.DaemonLeaving, sender: str
+    ) -> None:
+        # A notice of a former process on the same instance is out of date.
+        if self.network.incarnation_of(sender) == message.incarnation:
+            self.directory.note_leaving(sender)
+
+    def _handle_upstream_leaving(
+        self, message: messages.UpstreamLeaving, sender: str
+    ) -> None:
+        runtime = self.services.runtime(message.service)
+        if runtime is not None and sender in runtime.group:
+            runtime.mark_leaving(
+                message.upstream_id, peer=sender, step="peer-notice"
+            )
+
+    def _apply_document(
+        self, key: str, revision: int, text: str | None
+    ) -> None:
+        if not key.startswith(SERVICES_PREFIX):
+            self.directory.apply(key, revision, text)
+        elif text is None:
+            self.services.remove_document(key)
+        else:
+            self.services.apply_document(key, revision, text)
+        self.metrics.set_revision(max(revision, self.store.highest_revision))
+
+    def _note_list(self, key: str) -> None:
+        if key == DAEMONS_KEY:
+            self._apply_daemons()
+        elif key.startswith(UPSTREAMS_PREFIX):
+            self.services.refresh(key.removeprefix(UPSTREAMS_PREFIX))
+
+    def _apply_daemons(self) -> None:
+        neighbours = self.directory.neighbours()
+        self.distributor.set_neighbours(
+            [item.instance_id for item in neighbours],
+            reader=self.directory.is_reader(),
+        )
+        self.services.refresh_all()
+        self._connect_peers()
+        self.distributor.refresh()
+
+    def _connect_peers(self) -> None:
+        """Dial the neighbours and the members of all own groups."""
+        wanted = {item.instance_id for item in self.directory.neighbours()}
+        for runtime in self.services:
+            wanted.update(runtime.group)
+        listed = map(self.directory.daemon, sorted(wanted))
+        self.network.set_neighbours([item for item in listed if item])
+
+    def _note_peer(self, peer_id: str, reachable: bool) -> None:
+        act = Act.PEER_REACHABLE if reachable else Act.PEER_UNREACHABLE
+        self.audit.append(act, peer=peer_id, step="heartbeat")
+        if reachable:
+            self.directory.clear_leaving(peer_id)
+            if self._leaving:
+                notice = messages.DaemonLeaving(incarnation=self.incarnation)
+                self.network.post(peer_id, notice)
+
+    def _is_needed(self, key: str) -> bool:
+        if key == DAEMONS_KEY:
+            return True
+        name = key.removeprefix(SERVICES_PREFIX)
+        if name == key:
+            name = key.removeprefix(UPSTREAMS_PREFIX)
+        if name == key:
+            return False
+        if self.store.count_keys(SERVICES_PREFIX) <= SMALL_FLEET_SERVICES:
+            return True
+        return self.instance.instance_id in self._find_holders(key)
+
+    def _find_holders(self, key: str) -> list[str]:
+        """Return the daemons of this zone that keep a service's documents."""
+        name = key.rpartition("/")[2]
+        candidates = self.directory.owners(name, per_zone=CANDIDATES_PER_ZONE)
+        return [
+            item.instance_id
+            for item in candidates
+            if item.zone == self.instance.zone
+        ]
+
+    async def _tick_forever(self) -> None:
+        counted = (0, 0)
+        while not self._stopped.is_set():
+            for runtime in self.services:
+                runtime.tick()
+            self._connect_peers_if_changed()
+            counted = self._count_peers(counted)
+            await trio.sleep(TICK_S)
+
+    def _connect_peers_if_changed(self) -> None:
+        groups = frozenset(r.group for r in self.services)
+        if groups != self._groups:
+            self._groups = groups
+            self._connect_peers()
+
+    def _count_peers(self, counted: tuple[int, int]) -> tuple[int, int]:
+        sent, received = self.network.count_bytes()
+        self.metrics.count_peer_bytes(Direction.SENT, sent - counted[0])
+        self.metrics.count_peer_bytes(
+            Direction.RECEIVED, received - counted[1]
+        )
+        self.metrics.set_peers(len(self.network.connected()))
+        return sent, received
--- /dev/null
+++ b/src/hawthornmast/daemon/process.py
@@ -0,0 +1,62 @@
+"""Runs one daemon as a process."""
+
+import logging
+import signal
+import sys
+
+import trio
+
+from hawthornmast.audit import log_event
+from hawthornmast.daemon.member import Daemon
+from hawthornmast.settings import Settings
+
+_LOG = logging.getLogger("hawthornmast.daemon")
+
+
+def configure_logging(level: str) -> None:
+    """Write one key=value line an event to standard error."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        logging.Formatter(
+            "time=%(asctime)s.%(msecs)03dZ level=%(levelname)s "
+            "logger=%(name)s %(message)s",
+            datefmt="%Y-%m-%dT%H:%M:%S",
+        )
+    )
+    logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
+
+
+def run_daemon(settings: Settings) -> int:
+    """Run a daemon until SIGTERM or SIGINT; return the exit status."""
+    configure_logging(settings.log.level)
+    try:
+        trio.run(_run, settings)
+    except* OSError as group:
+        # A port that is in use ends the start; anything else is a fault.
+        log_event(
+            _LOG,
+            "daemon-failed",
+            level=logging.ERROR,
+            step="start",
+            detail=group.exceptions[0],
+        )
+        return 1
+    return 0
+
+
+async def _run(settings: Settings) -> None:
+    daemon = Daemon(settings)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_stop_on_signal, daemon, nursery.cancel_scope)
+        await daemon.start(nursery)
+
+
+async def _stop_on_signal(daemon: Daemon, scope: trio.CancelScope) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        async for number in received:
+            log_event(_LOG, "daemon-stopping", signal=number)
+            break
+        await daemon.drain()
+        await daemon.close()
+        log_event(_LOG, "daemon-stopped")
+        scope.cancel()
--- /dev/null
+++ b/src/hawthornmast/daemon/reports.py
@@ -0,0 +1,97 @@
+"""Turns finished requests into records, metrics and audit records."""
+
+import trio
+
+from hawthornmast.administration import Metrics
+from hawthornmast.administration import RequestLog
+from hawthornmast.administration import RequestRecord
+from hawthornmast.audit import Act
+from hawthornmast.audit import AuditTrail
+from hawthornmast.common import Outcome
+from hawthornmast.daemon.services import Services
+from hawthornmast.forwarding import RequestReport
+
+
+class Reporter:
+    """Records each finished request once.
+
+    Parameters
+    ----------
+    services
+        Accepted services, for the terms of the catalogue.
+    requests
+        Latest requests, for explanations.
+    metrics
+        Metrics of the process.
+    audit
+        Trail of automatic acts; refusals are recorded there.
+    """
+
+    def __init__(
+        self,
+        *,
+        services: Services,
+        requests: RequestLog,
+        metrics: Metrics,
+        audit: AuditTrail,
+    ) -> None:
+        self._services = services
+        self._requests = requests
+        self._metrics = metrics
+        self._audit = audit
+
+    def report(self, report: RequestReport) -> None:
+        """Record a request that has ended."""
+        self._requests.append(
+            RequestRecord(
+                request_id=report.request_id,
+                time=trio.current_time(),
+                service=report.service,
+                entry=report.entry,
+                owner=report.owner,
+                rank=report.rank,
+                outcome=report.outcome,
+                status=report.status,
+                reason=report.reason,
+                upstreams=report.upstreams,
+                queue_ms=report.queue_s * 1000,
+                upstream_ms=(report.total_s - report.queue_s) * 1000,
+                total_ms=report.total_s * 1000,
+                revision=report.revision,
+            )
+        )
+        self._count(report)
+        if report.outcome is Outcome.NOT_RUN and report.entry:
+            self._audit.append(
+                Act.REFUSE,
+                service=report.service,
+                entry=report.entry,
+                owner=report.owner,
+                revision=report.revision,
+                evidence=f"reason={report.reason}",
+                step="admit",
+                peer=report.client,
+                request_id=report.request_id,
+            )
+
+    def count_bad_input(self, kind: str) -> None:
+        """Count input from clients that was refused as malformed."""
+        self._metrics.count_bad_input(kind)
+
+    def _count(self, report: RequestReport) -> None:
+        service = self._services.known.get(report.service)
+        entry = None
+        if service is not None and report.entry:
+            entry = service.entry_named(report.entry)
+        if service is not None and entry is not None:
+            self._metrics.count_request(
+                service,
+                entry,
+                outcome=report.outcome,
+                seconds=report.total_s,
+                queue_seconds=report.queue_s,
+            )
+        if report.outcome is Outcome.NOT_RUN:
+            self._metrics.count_refusal(
+                report.reason, service=service, entry=entry
+            )
--- a/src/hawthornmast/peers/network.py
+++ b/src/hawthornmast/peers/network.py
@@ -139,6 +139,10 @@
         """Identifiers of the peers that this daemon dials."""
         return sorted(self._neighbours)
 
+    def connected(self) -> list[str]:
+        """Return the identifiers of all reachable peers."""
+        return sorted(filter(self.reachable, self._links))
+
     def set_neighbours(self, instances: Iterable[Instance]) -> None:
         """Dial exactly these peers; leave streams that peers opened."""
         wanted = {
