Add the health monitor with detection, permits and return

Each owner of a service pools evidence with the others in a sequential test, ejects within permits that are divided by position in the group, and follows the other owners' ejections while their announcements are fresh.

The healthy rate p0 is taken from the others' evidence since the run began and leaves out as many of the worst as may be ejected. A pooled rate over a fixed window was ruled out: at the onset of a fault that hits all alike, the window still holds healthy requests and every upstream looks like an outlier.

Deadlines of announcements and transferred permits are counted from an echoed stamp of the receiver, so a delayed message does not extend them.

--- a/src/hawthornmast/health/__init__.py
+++ b/src/hawthornmast/health/__init__.py
@@ -1,9 +1,19 @@
 """Detection of failing upstreams, ejection within the floor, return."""
 
+from hawthornmast.health.attempts import Attempt
+from hawthornmast.health.messages import HealthReport
+from hawthornmast.health.messages import PermitGrant
+from hawthornmast.health.messages import PermitRequest
+from hawthornmast.health.monitor import HealthMonitor
 from hawthornmast.health.standing import Evidence
 from hawthornmast.health.standing import Standing
 
 __all__ = [
+    "Attempt",
     "Evidence",
+    "HealthMonitor",
+    "HealthReport",
+    "PermitGrant",
+    "PermitRequest",
     "Standing",
 ]
--- /dev/null
+++ b/src/hawthornmast/health/monitor.py
@@ -0,0 +1,403 @@
+"""Health of the upstreams of one service, as one owner sees it."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
+import functools
+import random
+from typing import Any
+
+import trio
+
+from hawthornmast.audit import Act
+from hawthornmast.audit import AuditTrail
+from hawthornmast.catalogue import Service
+from hawthornmast.common import State
+from hawthornmast.common import Upstream
+from hawthornmast.health import holdoff
+from hawthornmast.health import permits
+from hawthornmast.health import scores
+from hawthornmast.health.attempts import Attempt
+from hawthornmast.health.attempts import OutstandingAttempts
+from hawthornmast.health.baseline import LatencyBaseline
+from hawthornmast.health.budget import EjectionBudget
+from hawthornmast.health.messages import HealthReport
+from hawthornmast.health.messages import PermitGrant
+from hawthornmast.health.messages import PermitRequest
+from hawthornmast.health.reports import Reporter
+from hawthornmast.health.standing import Evidence
+from hawthornmast.health.standing import Standing
+from hawthornmast.health.state import UpstreamState
+
+AVOID_S = 5.0
+SOURCE_DECAY_S = 2.0
+
+_EJECTED = Standing(ejected=True, avoided=True, weight=0.0)
+_AVOIDED = Standing(avoided=True)
+_NORMAL = Standing()
+
+
+class HealthMonitor:
+    """Decides which upstreams a daemon uses, avoids or ejects.
+
+    Parameters
+    ----------
+    service
+        Catalogue document that sets the floor.
+    self_id
+        Instance id of this daemon.
+    clock
+        Function that returns the time in seconds. It must not stand still
+        while the process is paused.
+    post
+        Function that sends a message to a daemon and returns whether it was
+        queued.
+    reachable
+        Function that tells whether a daemon can be asked for a permit.
+    audit
+        Trail of automatic acts.
+    on_change
+        Called with the upstream's id and its standing after a change.
+    incarnation
+        Number of this process; random by default.
+    hold_s
+        Seconds before permits of a new group are used.
+    """
+
+    def __init__(
+        self,
+        service: Service,
+        *,
+        self_id: str,
+        clock: Callable[[], float] = trio.current_time,
+        post: Callable[[str, Any], bool],
+        reachable: Callable[[str], bool] = lambda instance_id: True,
+        audit: AuditTrail,
+        on_change: Callable[[str, Standing], None] | None = None,
+        incarnation: int | None = None,
+        hold_s: float = permits.HOLD_S,
+    ) -> None:
+        if incarnation is None:
+            incarnation = random.getrandbits(63)
+        self._service = service
+        self._self_id = self_id
+        self._clock = clock
+        self._audit = audit
+        self._on_change = on_change
+        self._view = ""
+        self._states: dict[str, UpstreamState] = {}
+        self._baseline = LatencyBaseline()
+        self._outstanding = OutstandingAttempts()
+        self._decayed = clock()
+        self.budget = EjectionBudget(
+            service.name,
+            self_id=self_id,
+            incarnation=incarnation,
+            post=post,
+            reachable=reachable,
+            audit=audit,
+            hold_s=hold_s,
+        )
+        self._reporter = Reporter(
+            service.name, incarnation=incarnation, post=post
+        )
+
+    def begin(self, upstream_id: str, entry_name: str) -> Attempt:
+        """Record that a request is sent to an upstream."""
+        attempt = Attempt(
+            upstream_id=upstream_id,
+            entry_name=entry_name,
+            started=self._clock(),
+        )
+        self._outstanding.add(attempt)
+        return attempt
+
+    def finish(self, attempt: Attempt, evidence: Evidence) -> None:
+        """Record what a request showed about its upstream."""
+        self._outstanding.remove(attempt)
+        state = self._states.get(attempt.upstream_id)
+        if evidence is Evidence.SHED or evidence is Evidence.NEUTRAL:
+            return
+        now = self._clock()
+        latency = now - attempt.started
+        if evidence is Evidence.OK or evidence is Evidence.SLOW:
+            limit = self._baseline.get_limit(attempt.entry_name)
+            self._baseline.add(attempt.entry_name, latency)
+            if latency > limit:
+                evidence = Evidence.SLOW
+        if state is None or attempt.counted:
+            return
+        if evidence is Evidence.SLOW and state.is_cold(now):
+            return
+        self._record(state, failed=evidence is not Evidence.OK, now=now)
+
+    def standing(self, upstream_id: str) -> Standing:
+        """Return how this daemon may use an upstream now."""
+        state = self._states.get(upstream_id)
+        if state is None:
+            return _NORMAL
+        return self._compute_standing(state, self._clock())
+
+    def update(
+        self,
+        upstreams: Iterable[Upstream],
+        group: Sequence[str],
+        *,
+        view: str,
+        service: Service | None = None,
+    ) -> None:
+        """Take over published lists and, when given, a new document.
+
+        Parameters
+        ----------
+        upstreams
+            Published upstreams of the service.
+        group
+            Instance ids of the owners, in the same order on every daemon.
+        view
+            Names the published lists; ``confirm_view`` must give the same.
+        service
+            New revision of the catalogue document.
+        """
+        now = self._clock()
+        if service is not None:
+            self._service = service
+        self._view = view
+        listed = {u.upstream_id for u in upstreams if u.state == State.LIVE}
+        first = not self._states
+        for upstream_id in sorted(listed - self._states.keys()):
+            state = UpstreamState(upstream_id=upstream_id, listed=now)
+            if not first:
+                state.holdoff.start_ramp(now)
+            self._states[upstream_id] = state
+        for upstream_id in self._states.keys() - listed:
+            del self._states[upstream_id]
+            self.budget.permits.release(upstream_id, now)
+        size = len(listed)
+        allowed = max(0, size - self._service.count_floor(size))
+        self.budget.update(tuple(group), allowed, now)
+        self._apply(now)
+
+    def confirm_view(self, view: str, sent_at: float) -> None:
+        """Record that the platform still publishes a view.
+
+        Parameters
+        ----------
+        view
+            The view of the platform's response.
+        sent_at
+            Time of this daemon's clock when the question was sent.
+        """
+        if view == self._view:
+            self.budget.permits.confirm(sent_at, self._clock())
+            self._apply(self._clock())
+
+    @functools.singledispatchmethod
+    def handle(self, message: Any, sender: str) -> None:
+        """Handle a message of another owner."""
+        raise TypeError(
+            f"message is {type(message).__name__}, allowed: HealthReport, "
+            "PermitRequest, PermitGrant"
+        )
+
+    @handle.register
+    def _(self, message: HealthReport, sender: str) -> None:
+        now = self._clock()
+        if not self.budget.accept_report(message, sender, now):
+            return
+        for count in message.counts:
+            state = self._states.get(count.upstream_id)
+            if state is None:
+                continue
+            if count.ok > 0:
+                state.score.add_ok(sender, count.ok)
+            if count.failed > 0:
+                self._add_failed(state, sender, now, count.failed)
+                self._evaluate(state, now)
+        self._apply(now)
+
+    @handle.register
+    def _(self, message: PermitRequest, sender: str) -> None:
+        self.budget.answer(message, sender, self._clock())
+
+    @handle.register
+    def _(self, message: PermitGrant, sender: str) -> None:
+        now = self._clock()
+        if self.budget.receive(message, now):
+            self._apply(now)
+
+    def tick(self) -> None:
+        """Do what time requires; called every 100 ms."""
+        now = self._clock()
+        for name in self._outstanding.entry_names:
+            limit = self._baseline.get_limit(name)
+            for attempt in self._outstanding.pop_slow(name, limit, now):
+                attempt.counted = True
+                state = self._states.get(attempt.upstream_id)
+                if state is not None and not state.is_cold(now):
+                    self._record(state, failed=True, now=now)
+        if now - self._decayed >= SOURCE_DECAY_S:
+            self._decayed = now
+            for state in self._states.values():
+                state.score.decay_sources()
+        self._apply(now)
+        self._send(now)
+
+    def list_ejected(self) -> list[str]:
+        """Return the upstreams that are ejected now."""
+        now = self._clock()
+        return [u for u, s in self._states.items() if now < s.ejected_until]
+
+    def _record(
+        self, state: UpstreamState, *, failed: bool, now: float
+    ) -> None:
+        self._reporter.count(state.upstream_id, failed=failed)
+        if not failed:
+            state.score.add_ok(self._self_id)
+            return
+        self._add_failed(state, self._self_id, now, 1)
+        self._evaluate(state, now)
+        if state.sick:
+            self._apply(now)
+        self._send(now)
+
+    def _add_failed(
+        self, state: UpstreamState, source: str, now: float, count: int
+    ) -> None:
+        if state.score.level <= 0.0:
+            self._snapshot(state)
+        state.score.add_failed(source, now, count)
+
+    def _snapshot(self, state: UpstreamState) -> None:
+        state.score.others = {
+            upstream_id: (other.score.total, other.score.failures)
+            for upstream_id, other in self._states.items()
+            if other is not state
+        }
+
+    def _evaluate(self, state: UpstreamState, now: float) -> None:
+        score = state.score
+        if score.fails_for(self._self_id) or (
+            score.level >= scores.LOW and not score.works_for_some()
+        ):
+            state.avoid_until = now + AVOID_S
+        if score.level < scores.LOW:
+            return
+        rate = self._estimate_rate(state)
+        sick = score.is_sick(now, rate, len(self.budget.owners.members))
+        if sick and not state.sick:
+            state.sick_since = now
+        state.sick = sick
+
+    def _estimate_rate(self, state: UpstreamState) -> float:
+        # The worst others are left out, as many as may be ejected besides
+        # this one, so that several failing upstreams do not hide each other.
+        found: list[tuple[int, int]] = []
+        for upstream_id, (total, failures) in state.score.others.items():
+            other = self._states.get(upstream_id)
+            if other is not None:
+                found.append(
+                    (
+                        other.score.failures - failures,
+                        other.score.total - total,
+                    )
+                )
+        found.sort(reverse=True)
+        rest = found[max(0, self.budget.permits.budget - 1) :]
+        return scores.bound_rate(
+            sum(f for f, _ in rest), sum(t for _, t in rest)
+        )
+
+    def _apply(self, now: float) -> None:
+        """Bring ejections in line with permits, announcements and time."""
+        before = {u for u, state in self._states.items() if state.was_ejected}
+        for state in self._states.values():
+            if state.score.level <= 0.0:
+                state.sick = False
+            elif (
+                not state.sick
+                and state.score.level >= scores.LOW
+                and now >= state.ejected_until
+            ):
+                # Time alone can make the run long enough.
+                self._evaluate(state, now)
+        self.budget.settle(self._states, now)
+        deadlines = self.budget.list_deadlines(self._states, now)
+        for upstream_id, state in self._states.items():
+            state.ejected_until = deadlines.get(upstream_id, 0.0)
+            ejected = now < state.ejected_until
+            if ejected and upstream_id not in before:
+                self._start_ejection(state, now)
+            elif not ejected and upstream_id in before:
+                self._end_ejection(state, now)
+            state.was_ejected = ejected
+            self._publish(state, now)
+
+    def _start_ejection(self, state: UpstreamState, now: float) -> None:
+        state.holdoff.start(now)
+        holder = self.budget.find_holder(state.upstream_id, now)
+        score = state.score
+        self._append(
+            Act.EJECT,
+            state,
+            evidence=f"failed={score.run_failed} ok={score.run_ok} "
+            f"score={score.level:.1f}",
+            step="own-permit" if holder == self._self_id else "follow",
+            peer=holder,
+        )
+        if holder == self._self_id:
+            self._send(now, at_once=True)
+
+    def _end_ejection(self, state: UpstreamState, now: float) -> None:
+        state.sick = False
+        state.score.start_trial(now)
+        self._snapshot(state)
+        state.holdoff.start_ramp(now)
+        lapsed = now < state.holdoff.until
+        if lapsed:
+            state.avoid_until = now + AVOID_S
+        self._append(
+            Act.RETURN,
+            state,
+            evidence="permit-ended" if lapsed else "hold-off-over",
+            step="trial",
+        )
+
+    def _publish(self, state: UpstreamState, now: float) -> None:
+        standing = self._compute_standing(state, now)
+        if standing == state.published:
+            return
+        newly_avoided = standing.avoided and not state.published.avoided
+        if newly_avoided and not standing.ejected:
+            self._append(Act.AVOID, state, step="evaluate")
+        state.published = standing
+        if self._on_change is not None:
+            self._on_change(state.upstream_id, standing)
+
+    def _compute_standing(self, state: UpstreamState, now: float) -> Standing:
+        # Compared with the clock at each decision: a process that was paused
+        # must not use an ejection whose permit expired meanwhile.
+        if now < state.ejected_until:
+            return _EJECTED
+        if now - state.holdoff.ramp_from < holdoff.RAMP_S:
+            weight = round(state.holdoff.get_weight(now), 1)
+            return Standing(avoided=now < state.avoid_until, weight=weight)
+        return _AVOIDED if now < state.avoid_until else _NORMAL
+
+    def _send(self, now: float, *, at_once: bool = False) -> None:
+        self._reporter.send(self.budget, now, at_once=at_once)
+
+    def _append(self, act: Act, state: UpstreamState, **fields: Any) -> None:
+        fields.setdefault("peer", "")
+        step = fields.pop("step")
+        peer = fields.pop("peer")
+        self._audit.append(
+            act,
+            service=self._service.name,
+            owner=self._service.owner,
+            limit=f"floor={self._service.floor}",
+            revision=self._service.revision,
+            step=step if not peer else f"{step}:{peer}",
+            peer=state.upstream_id,
+            **fields,
+        )
--- /dev/null
+++ b/src/hawthornmast/health/tests/test_monitor.py
@@ -0,0 +1,94 @@
+"""Detection, ejection and return on a virtual clock."""
+
+import pytest
+
+from hawthornmast.audit import Act
+from hawthornmast.catalogue import Service
+from hawthornmast.health import Evidence
+from hawthornmast.health.tests.simulation import make_upstreams
+from hawthornmast.health.tests.simulation import Simulation
+from hawthornmast.health.tests.simulation import Traffic
+
+OWNERS = ["a", "b", "c"]
+OK = (Evidence.OK, 0.02)
+FAILED = (Evidence.FAILED, 0.005)
+
+
+def run(answer, *, seed=1, rate=20.0, count=7, seconds=2.0, floor=0.7):
+    """Run 3 owners; the fault begins 20 s after the start."""
+    service = Service(name="billing", owner="team", floor=floor)
+    sim = Simulation(seed, service)
+    upstreams = make_upstreams(count)
+    for name in OWNERS:
+        sim.start(name).update(upstreams, OWNERS, view="1")
+    begin = sim.now + 20
+
+    def respond(name, upstream_id, now):
+        return answer(name, upstream_id) if now >= begin else OK
+
+    Traffic(sim, respond, rate=rate, upstreams=upstreams)
+    sim.run_until(begin + seconds)
+    return sim
+
+
+class TestDetection:
+    """Guards against missed faults and against wrong ejections."""
+
+    @pytest.mark.parametrize(
+        "bad", [FAILED, (Evidence.OK, 0.3), None], ids=["failed", "slow", "-"]
+    )
+    @pytest.mark.parametrize("seed", range(3))
+    def test_eject_on_every_owner(self, bad, seed):
+        sim = run(lambda _, u: bad if u == "u2" else OK, seed=seed)
+        for monitor in sim.monitors.values():
+            assert monitor.standing("u2").ejected
+            assert monitor.list_ejected() == ["u2"]
+
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            lambda _, u: FAILED,
+            lambda _, u: (Evidence.OK, 0.4),
+            lambda _, u: (Evidence.SHED, 0.001),
+            lambda _, u: (Evidence.NEUTRAL, 0.001),
+        ],
+        ids=["all-fail", "all-slow", "shed", "neutral"],
+    )
+    @pytest.mark.parametrize("rate", [1.0, 20.0])
+    def test_eject_nothing(self, answer, rate):
+        sim = run(answer, rate=rate, seconds=20.0)
+        for monitor in sim.monitors.values():
+            assert monitor.list_ejected() == []
+
+    @pytest.mark.parametrize("seed", range(5))
+    def test_avoid_one_way_partition(self, seed):
+        def answer(name, upstream_id):
+            return FAILED if (name, upstream_id) == ("a", "u1") else OK
+
+        sim = run(answer, seed=seed, seconds=4.0)
+        for monitor in sim.monitors.values():
+            assert monitor.list_ejected() == []
+        assert sim.monitors["a"].standing("u1").avoided
+        assert not sim.monitors["b"].standing("u1").avoided
+
+    def test_few_failures_at_low_rate(self):
+        sim = run(
+            lambda _, u: FAILED if u == "u0" else OK, rate=1.0, seconds=12.0
+        )
+        assert sim.monitors["a"].list_ejected() == ["u0"]
+
+
+class TestReturn:
+    """Guards against an upstream that stays out or returns too soon."""
+
+    def test_return_and_eject_again(self):
+        sim = run(lambda _, u: FAILED if u == "u2" else OK, seconds=12.0)
+        acts = [r.act for r in sim.monitors["a"]._audit]
+        assert acts.count(Act.EJECT) >= 2
+        assert Act.RETURN in acts
+
+    def test_keep_floor_when_more_fail(self):
+        bad = ("u1", "u2", "u3", "u4")
+        sim = run(lambda _, u: FAILED if u in bad else OK, seconds=3.0)
+        union = {u for m in sim.monitors.values() for u in m.list_ejected()}
+        assert len(union) <= 2
