--- /dev/null
+++ b/src/hawthornmast/configuration/tests/test_distributor.py
@@ -0,0 +1,213 @@
+"""Tests of distribution under failures, on a paused clock."""
+
+import pytest
+import trio
+import trio.testing
+
+from hawthornmast.audit import Act
+from standins import fleet as simulation
+
+KEY = "catalogue/services/billing"
+HOUR_S = 3600.0
+
+
+def run(test, **options):
+    """Run ``test(fleet)`` on a clock that jumps over waiting times."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            fleet = simulation.SimulatedFleet(nursery, **options)
+            fleet.platform.put(KEY, "first")
+            await test(fleet)
+            check_history(fleet)
+            nursery.cancel_scope.cancel()
+
+    simulation.seed_scheduler(options.get("seed", 1))
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def check_history(fleet):
+    """No daemon put an older revision in force after a newer one."""
+    for daemon in fleet.daemons.values():
+        for revisions in daemon.history.values():
+            assert revisions == sorted(set(revisions))
+
+
+async def wait_for(fleet, revision, *, within, key=KEY):
+    with trio.fail_after(within):
+        while fleet.lowest_revision(key) < revision:
+            await trio.sleep(0.01)
+
+
+class TestNeverBack:
+    @pytest.mark.parametrize(("hours", "count"), [(0, 12), (2, 5)])
+    def test_fresh_daemon_meets_stale_platform(self, hours, count):
+        # Guards against a new daemon that believes a stale platform.
+        async def test(fleet):
+            await fleet.start()
+            fleet.platform.set_stale(True)
+            stale, fleet.platform._frozen = fleet.platform._frozen, None
+            revision = fleet.platform.put(KEY, "second")
+            await wait_for(fleet, revision, within=2)
+            fleet.platform._frozen = stale
+            await trio.sleep(hours * HOUR_S)
+            await fleet.stop("d4")
+            await fleet.start("d4")
+            assert fleet.daemons["d4"].text(KEY) == "second"
+            assert fleet.daemons["d4"].history[KEY] == [revision]
+
+        run(test, count=count)
+
+    def test_readers_with_crossed_revisions(self):
+        # Guards against the reader that is behind overruling the other.
+        async def test(fleet):
+            await fleet.start()
+            behind = simulation.Platform()
+            for key in (simulation.DAEMONS_KEY, KEY):
+                value = fleet.platform._values[key]
+                behind.put(key, value.content)
+            behind.put(KEY, "between")
+            readers = [
+                name
+                for name, daemon in fleet.daemons.items()
+                if daemon.directory.is_reader()
+            ]
+            fleet.platform.put(KEY, "between")
+            revision = fleet.platform.put(KEY, "newest")
+            for name in readers[::2]:
+                fleet.platform_of[name] = behind
+            await wait_for(fleet, revision, within=2)
+            await trio.sleep(60)
+            assert {d.text(KEY) for d in fleet.daemons.values()} == {"newest"}
+
+        run(test, count=12)
+
+    def test_deletion_is_not_undone(self):
+        # Guards against an older put that arrives after the deletion.
+        async def test(fleet):
+            await fleet.start()
+            isolated = "d5"
+            others = [n for n in fleet.names if n != isolated]
+            fleet.cut([isolated], others)
+            fleet.cut(others, [isolated])
+            stale = simulation.Platform()
+            stale.set_stale(True)
+            fleet.platform_of[isolated] = stale
+            revision = fleet.platform.delete(KEY)
+            await trio.sleep(5)
+            assert fleet.daemons[isolated].text(KEY) == "first"
+            fleet.heal()
+            await wait_for(fleet, revision, within=20)
+            await trio.sleep(30)
+            assert {d.text(KEY) for d in fleet.daemons.values()} == {None}
+
+        run(test, count=12)
+
+    def test_invalid_revision_between_valid_ones(self):
+        # Guards against a refused document in force and against reading it
+        # again and again.
+        async def test(fleet):
+            await fleet.start()
+            fleet.platform.put(KEY, "invalid")
+            await trio.sleep(2)
+            reads = fleet.platform.calls["values"]
+            await fleet.stop("d4")
+            await fleet.start("d4")
+            await trio.sleep(120)
+            assert {d.text(KEY) for d in fleet.daemons.values()} == {"first"}
+            # The new daemon reads the listed keys once each, retries once
+            # per pause only for what it couldn't settle.
+            assert fleet.platform.calls["values"] - reads <= 4
+            assert any(
+                daemon.audit.counts.get(Act.CONFIGURATION_REFUSED)
+                for daemon in fleet.daemons.values()
+            )
+            revision = fleet.platform.put(KEY, "third")
+            await wait_for(fleet, revision, within=2)
+
+        run(test, count=12)
+
+
+class TestPartitions:
+    @pytest.mark.parametrize("one_way", [False, True])
+    def test_halves_converge_after_healing(self, one_way):
+        # Guards against a difference that no announcement carries any more.
+        async def test(fleet):
+            await fleet.start()
+            left, right = fleet.names[::2], fleet.names[1::2]
+            fleet.cut(left, right)
+            if not one_way:
+                fleet.cut(right, left)
+            behind = simulation.Platform()
+            behind.down = True
+            fleet.platform_of = dict.fromkeys(right, behind)
+            revision = fleet.platform.put(KEY, "second")
+            await trio.sleep(30)
+            assert fleet.lowest_revision(KEY) < revision
+            fleet.heal()
+            await wait_for(fleet, revision, within=10)
+
+        run(test, count=12)
+
+    def test_platform_away_for_hours(self):
+        # Guards against a busy loop of the watch, and against a daemon that
+        # can't start while the platform is away.
+        async def test(fleet):
+            await fleet.start()
+            fleet.platform.set_down(True)
+            await trio.sleep(2 * HOUR_S)
+            await fleet.stop("d4")
+            # Its neighbours come from the settings while nothing is read.
+            daemon = simulation.SimulatedDaemon(fleet, "d4")
+            fleet.daemons["d4"] = daemon
+            daemon.distributor.set_neighbours(["d0", "d1", "d2"], reader=False)
+            await daemon.distributor.start(fleet.nursery)
+            with trio.fail_after(20):
+                await daemon.distributor.ready()
+            assert daemon.text(KEY) == "first"
+            revision = fleet.platform.put(KEY, "second")
+            fleet.platform.set_down(False)
+            await wait_for(fleet, revision, within=10)
+
+        run(test, count=5)
+
+    def test_document_that_cannot_be_fetched_yet(self):
+        # Guards against an announcement that counts before its document
+        # is here, and against one that is forgotten.
+        async def test(fleet):
+            await fleet.start()
+            daemon = fleet.daemons["d5"]
+            away = simulation.Platform()
+            away.down = True
+            fleet.platform_of["d5"] = away
+            # Announcements reach d5, its questions don't reach the others.
+            fleet.cut(["d5"], [n for n in fleet.names if n != "d5"])
+            revision = fleet.platform.put(KEY, "second")
+            await trio.sleep(30)
+            assert daemon.text(KEY) == "first"
+            assert daemon.store.revision_of(KEY) < revision
+            fleet.heal()
+            await wait_for(fleet, revision, within=10)
+
+        run(test, count=12)
+
+
+class TestPlatformCalls:
+    def test_rate_does_not_grow_with_daemons(self):
+        # Guards against daemons that each watch or read the platform.
+        calls = {}
+        for count in (8, 64):
+
+            async def test(fleet, count=count):
+                await fleet.start()
+                before = sum(fleet.platform.calls.values())
+                for number in range(20):
+                    revision = fleet.platform.put(KEY, f"change {number}")
+                    await wait_for(fleet, revision, within=2)
+                    await trio.sleep(5)
+                calls[count] = sum(fleet.platform.calls.values()) - before
+
+            run(test, count=count)
+        # Six readers: one watch and at most one read for each change.
+        assert calls[64] <= 6 * 20 * 2 + 6 * 5
+        assert calls[64] <= calls[8] * 1.2
