Test forwarding against faulty upstreams, clients and tickets

Each test causes its failure on loopback sockets and judges by the stand-in's log of executions. At the end of each, no connection, slot or task may be left.

A 504 that an upstream returns because the client's own timeout was short no longer counts against the upstream; otherwise clients could have healthy upstreams ejected.

--- a/src/hawthornmast/forwarding/forwarder.py
+++ b/src/hawthornmast/forwarding/forwarder.py
@@ -326,6 +326,10 @@
                     if answer.cut:
                         answer.outcome = Outcome.UNKNOWN
                 evidence = _judge_status(exchange.status)
+                if exchange.status == 504 and self._was_hurried(
+                    entry, progress, attempts.deadline
+                ):
+                    evidence = Evidence.NEUTRAL
                 if answer.cut and not trace.left:
                     evidence = Evidence.FAILED
             finally:
@@ -350,6 +354,17 @@
             return Evidence.FAILED
         return Evidence.NEUTRAL
 
+    def _was_hurried(
+        self, entry: Entry, progress: Progress, deadline: float
+    ) -> bool:
+        """Return whether a 504 is due to the client's short timeout."""
+        allowed_s = deadline - progress.started_at
+        spent = self._clock() - progress.started_at
+        return (
+            allowed_s < _FAIR_PART * entry.deadline_ms / 1000
+            and spent >= 0.8 * allowed_s
+        )
+
     def _after_error(
         self,
         error: StepError,
--- a/src/hawthornmast/forwarding/tests/support.py
+++ b/src/hawthornmast/forwarding/tests/support.py
@@ -92,12 +92,15 @@
 
     own: Runtime
     others: dict = attrs.Factory(dict)
+    lost: bool = False
 
     def runtime(self, service_name):
-        return self.own if service_name == "billing" else None
+        if self.lost or service_name != "billing":
+            return None
+        return self.own
 
     def owners(self, service_name):
-        if service_name == "billing":
+        if service_name == "billing" and not self.lost:
             return [make_instance("d1", 1)]
         return self.others.get(service_name)
 
--- /dev/null
+++ b/src/hawthornmast/forwarding/tests/test_connection.py
@@ -0,0 +1,194 @@
+"""Tests of bad input on the clients' address."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+import trio
+
+from hawthornmast.forwarding import ClientLimits
+from hawthornmast.forwarding.tests.support import run_fleet
+
+_POST = b"POST /read HTTP/1.1\r\nHost: billing\r\n"
+_GET = b"GET /read HTTP/1.1\r\nHost: billing\r\n"
+_CHUNKED = _POST + b"Transfer-Encoding: chunked\r\n"
+
+_BAD = {
+    "bytes": (b"\x00\x01\x02\r\n\r\n", 400, "protocol"),
+    "tls": (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03", 400, "protocol"),
+    "two-lengths": (
+        _POST + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        400,
+        "protocol",
+    ),
+    "both-lengths": (
+        _CHUNKED + b"Content-Length: 4\r\n\r\n0\r\n\r\n",
+        400,
+        "two-body-lengths",
+    ),
+    "folded": (_GET + b"X: a\r\n b\r\n\r\n", 400, "folded-header"),
+    "folded-coding": (
+        _POST + b"Transfer-Encoding:\r\n chunked\r\n\r\n0\r\n\r\n",
+        400,
+        "folded-header",
+    ),
+    "line-feeds": (_GET.replace(b"\r", b"") + b"\n", 400, "bare-line-feed"),
+    "chunk-size": (_CHUNKED + b"\r\n0x5\r\nabcde\r\n0\r\n\r\n", 400, None),
+    "chunk-sign": (_CHUNKED + b"\r\n-5\r\nabcde\r\n0\r\n\r\n", 400, None),
+    "chunk-huge": (_CHUNKED + b"\r\n" + b"f" * 30 + b"\r\n", 400, None),
+    "chunk-long": (_CHUNKED + b"\r\nff\r\n" + b"a" * 255, 413, None),
+    "coding": (
+        _POST + b"Transfer-Encoding: gzip, chunked\r\n\r\n",
+        501,
+        "protocol",
+    ),
+    "old-chunked": (
+        b"POST /read HTTP/1.0\r\nHost: billing\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        400,
+        "chunked-in-1.0",
+    ),
+    "length": (_POST + b"Content-Length: +5\r\n\r\nabcde", 400, "protocol"),
+    "long-body": (
+        _POST + b"Content-Length: 101\r\n\r\n",
+        413,
+        "body-too-long",
+    ),
+    "long-number": (
+        _POST + b"Content-Length: " + b"9" * 5000 + b"\r\n\r\n",
+        400,
+        "protocol",
+    ),
+    "no-host": (b"GET / HTTP/1.1\r\n\r\n", 400, "protocol"),
+    "two-hosts": (_GET + b"Host: other\r\n\r\n", 400, "protocol"),
+    "upgrade": (
+        _GET + b"Connection: upgrade\r\nUpgrade: websocket\r\n\r\n",
+        501,
+        "upgrade",
+    ),
+    "many-headers": (_GET + b"A: b\r\n" * 101 + b"\r\n", 431, None),
+    "timeout": (
+        _GET + b"Hawthornmast-Timeout-Ms: 1e3\r\n\r\n",
+        400,
+        "bad-timeout",
+    ),
+    "two-tickets": (
+        _GET + b"Hawthornmast-Ticket: a\r\n" * 2 + b"\r\n",
+        400,
+        "repeated-header",
+    ),
+    "slow-header": (_GET, 408, "slow-header"),
+    "slow-body": (_POST + b"Content-Length: 9\r\n\r\na", 408, "slow-body"),
+}
+_LIMITS = ClientLimits(body_bytes=100, header_s=0.2, body_s=0.2)
+
+
+class TestBadInput:
+    @pytest.mark.parametrize(
+        ("data", "status", "kind"), _BAD.values(), ids=_BAD
+    )
+    async def test_bad_input_is_refused_and_counted(self, data, status, kind):
+        async with run_fleet(limits=_LIMITS) as fleet:
+            answer = await fleet.talk(data)
+            assert int(answer.split()[1]) == status
+            assert b"hawthornmast-outcome: not-run" in answer.lower()
+            assert answer.count(b"HTTP/1.1 ") == 1
+            assert fleet.bad == [kind or fleet.bad[0]]
+            assert fleet.runs() == 0
+
+    async def test_hundred_megabytes_of_header(self):
+        # Guards against memory use that grows with what a client sends.
+        async with run_fleet() as fleet:
+            answer = await fleet.talk(
+                _GET + b"X: " + b"a" * 100_000_000, timeout=20
+            )
+            assert answer[:12] in (b"HTTP/1.1 431", b"")
+            assert fleet.bad == ["header-too-long"]
+
+    async def test_slow_sender_holds_no_slot(self):
+        async with run_fleet(limits=_LIMITS) as fleet:
+            stream = await trio.open_tcp_stream("127.0.0.1", fleet.port)
+            await stream.send_all(_POST + b"Content-Length: 9\r\n\r\n")
+            await trio.sleep(0.05)
+            assert fleet.runtime.held == 0
+            assert (await fleet.call()).status == 200
+            await stream.aclose()
+
+    async def test_connections_beyond_the_limit_are_refused(self):
+        async with run_fleet(limits=ClientLimits(connections=1)) as fleet:
+            stream = await trio.open_tcp_stream("127.0.0.1", fleet.port)
+            await trio.sleep(0.05)
+            assert b"503" in await fleet.talk(b"")
+            await stream.aclose()
+            await trio.sleep(0.05)
+            assert (await fleet.call()).status == 200
+
+    async def test_continue_is_sent_only_when_the_request_may_run(self):
+        expect = b"Content-Length: 1\r\nExpect: 100-continue\r\n\r\n"
+        async with run_fleet() as fleet:
+            refused = await fleet.talk(
+                b"POST /renewals HTTP/1.1\r\nHost: billing\r\n" + expect
+            )
+            assert refused.split()[1] == b"428"
+            stream = await trio.open_tcp_stream("127.0.0.1", fleet.port)
+            await stream.send_all(_POST + expect)
+            assert (await stream.receive_some(99)).split()[1] == b"100"
+            await stream.send_all(b"x")
+            assert b"length=1" in await stream.receive_some(9999)
+            await stream.aclose()
+
+    async def test_pipelined_requests_get_their_own_answers(self):
+        async with run_fleet() as fleet:
+            keys = [b"a", b"b", b"c"]
+            data = b"".join(
+                _GET + b"X-Request-Key: " + key + b"\r\n\r\n" for key in keys
+            )
+            stream = await trio.open_tcp_stream("127.0.0.1", fleet.port)
+            await stream.send_all(data)
+            received = b""
+            with trio.fail_after(5):
+                while received.count(b"length=0\n") < 3:
+                    received += await stream.receive_some(9999)
+            found = [part[:1] for part in received.split(b"key=")[1:]]
+            assert found == keys
+            await stream.aclose()
+
+
+_PIECES = strategies.lists(
+    strategies.one_of(
+        strategies.binary(max_size=40),
+        strategies.sampled_from(
+            [
+                _GET,
+                _POST,
+                _CHUNKED,
+                b"\r\n",
+                b"\r\n\r\n",
+                b"Content-Length: 5\r\n",
+                b"Expect: 100-continue\r\n",
+                b"Connection: close\r\n",
+                b"5\r\nabcde\r\n",
+                b"0\r\n\r\n",
+                b"OPTIONS * HTTP/1.1\r\n",
+                b"GET http://billing/read HTTP/1.0\r\n",
+            ]
+        ),
+    ),
+    max_size=8,
+)
+
+
+class TestRandomBytes:
+    @hypothesis.settings(
+        max_examples=150, deadline=None, derandomize=True, database=None
+    )
+    @hypothesis.given(pieces=_PIECES)
+    def test_no_bytes_end_the_server_or_leave_a_task(self, pieces):
+        async def run():
+            limits = ClientLimits(
+                header_s=0.02, body_s=0.02, idle_s=0.02, body_bytes=1000
+            )
+            async with run_fleet(1, limits=limits) as fleet:
+                await fleet.talk(b"".join(pieces))
+                assert (await fleet.call()).status == 200
+
+        trio.run(run)
--- /dev/null
+++ b/src/hawthornmast/forwarding/tests/test_faults.py
@@ -0,0 +1,172 @@
+"""Tests of faulty upstreams, leaving clients and relays."""
+
+import json
+
+import pytest
+import trio
+
+from hawthornmast.forwarding.tests.support import make_instance
+from hawthornmast.forwarding.tests.support import outcome
+from hawthornmast.forwarding.tests.support import run_fleet
+
+_CUTS = [
+    {"cut": "short"},
+    {"cut": "chunked"},
+    {"cut": "close"},
+    {"cut": "head"},
+    {"cut": "none"},
+    {"old": True, "cut": "close"},
+    {"old": True, "cut": "chunked"},
+    {"old": True, "cut": "short"},
+    {"two_lengths": True},
+]
+
+
+class TestCutAnswers:
+    @pytest.mark.parametrize("version", ["1.0", "1.1"])
+    @pytest.mark.parametrize("faults", _CUTS, ids=json.dumps)
+    async def test_cut_answer_is_never_passed_on(self, faults, version):
+        async with run_fleet() as fleet:
+            fleet.runtime.retries = 0
+            fleet.set_faults(**faults)
+            data = await fleet.talk(
+                f"GET /read HTTP/{version}\r\nHost: billing\r\n"
+                "Connection: close\r\n\r\n".encode()
+            )
+            assert data.split()[1] == b"502"
+            assert b"hawthornmast-outcome: unknown" in data.lower()
+            assert b"key=" not in data
+            assert fleet.runtime.evidence == [("u0", "failed")]
+
+    @pytest.mark.parametrize("cut", ["short", "chunked"])
+    @pytest.mark.parametrize("version", ["1.0", "1.1"])
+    async def test_long_cut_answer_has_no_valid_end(self, cut, version):
+        # Guards against a cut answer that a client takes for a whole one.
+        async with run_fleet() as fleet:
+            fleet.runtime.retries = 0
+            fleet.set_faults(cut=cut, body_bytes=200_000)
+            data = await fleet.talk(
+                f"GET /read HTTP/{version}\r\nHost: billing\r\n\r\n".encode()
+            )
+            head, _, body = data.partition(b"\r\n\r\n")
+            assert fleet.reports[0].outcome == "unknown"
+            if version == "1.0":
+                assert data.split()[1] == b"502"
+            elif cut == "short":
+                assert b"content-length: 200010" in head.lower()
+                assert len(body) < 200_010
+            else:
+                assert b"transfer-encoding: chunked" in head.lower()
+                assert not body.endswith(b"0\r\n\r\n")
+
+    @pytest.mark.parametrize("faults", _CUTS, ids=json.dumps)
+    async def test_idempotent_request_is_retried_elsewhere(self, faults):
+        async with run_fleet() as fleet:
+            fleet.set_faults(0, **faults)
+            assert outcome(await fleet.call()) == (200, "complete", None)
+            assert fleet.standins[1].count_runs("k") == 1
+
+    async def test_whole_answers_of_other_forms_pass(self):
+        async with run_fleet() as fleet:
+            for faults in ({"old": True}, {"informational": True}):
+                fleet.set_faults(**faults)
+                answer = await fleet.call()
+                assert outcome(answer) == (200, "complete", None)
+                assert answer.body.startswith(b"key=k ")
+
+
+class TestKeptConnections:
+    async def test_closed_kept_connection_is_retried(self):
+        async with run_fleet(1) as fleet:
+            await fleet.call()
+            fleet.set_faults(refuse_reused=True)
+            assert outcome(await fleet.call()) == (200, "complete", None)
+            assert fleet.runtime.retries == 9
+            assert fleet.runtime.evidence[1] == ("u0", "neutral")
+
+    async def test_crossed_answer_is_refused(self):
+        # Guards against a client that receives another request's answer.
+        async with run_fleet(1) as fleet:
+            await fleet.call(headers=(("X-Request-Key", "first"),))
+            fleet.set_faults(crossed=True)
+            fleet.runtime.retries = 0
+            answer = await fleet.call()
+            assert outcome(answer) == (502, "unknown", "upstream-failed")
+            assert b"key=" not in answer.body
+
+    async def test_late_answer_after_the_client_left_is_dropped(self):
+        async with run_fleet(1) as fleet:
+            await fleet.call()
+            fleet.set_faults(service_s=0.3)
+            stream = await trio.open_tcp_stream("127.0.0.1", fleet.port)
+            await stream.send_all(
+                b"GET /read HTTP/1.1\r\nHost: billing\r\n"
+                b"X-Request-Key: left\r\n\r\n"
+            )
+            await trio.sleep(0.1)
+            await stream.aclose()
+            await trio.sleep(0.15)
+            run = fleet.standins[0].log[-1]
+            assert (run.key, run.cancelled) == ("left", True)
+            fleet.set_faults(service_s=0.0)
+            assert b"key=k " in (await fleet.call()).body
+            assert fleet.standins[0].accepted == 2
+            assert fleet.reports[1].reason == "client-left"
+            assert fleet.runtime.evidence[1] == ("u0", "neutral")
+
+    async def test_queued_request_of_a_client_that_left_is_dropped(self):
+        async with run_fleet(1) as fleet:
+            fleet.runtime.gate = trio.Event()
+            stream = await trio.open_tcp_stream("127.0.0.1", fleet.port)
+            await stream.send_all(
+                b"GET /read HTTP/1.1\r\nHost: billing\r\n\r\n"
+            )
+            await trio.sleep(0.05)
+            await stream.aclose()
+            await trio.sleep(0.15)
+            fleet.runtime.gate.set()
+            await trio.sleep(0.05)
+            assert fleet.runs() == 0
+            assert fleet.reports[0].outcome == "not-run"
+
+    async def test_leaving_upstream_is_noted(self):
+        async with run_fleet(1) as fleet:
+            fleet.set_faults(leaving=True)
+            await fleet.call()
+            assert fleet.runtime.leaving == ["u0"]
+
+    async def test_short_timeout_is_no_evidence(self):
+        # Guards against clients that get healthy upstreams ejected.
+        async with run_fleet(1) as fleet:
+            fleet.set_faults(service_s=1.0)
+            headers = (("Hawthornmast-Timeout-Ms", "50"),)
+            answer = await fleet.call(headers=headers)
+            assert answer.status == 504
+            assert int(fleet.standins[0].log[0].timeout_ms) <= 50
+            assert ("u0", "failed") not in fleet.runtime.evidence
+
+
+class TestRelay:
+    async def test_idempotent_request_is_relayed_one_hop(self):
+        # The secrets differ as they do while they are rotated.
+        secrets = [b"old", b"new"]
+        async with run_fleet(1, peer_secrets=secrets) as owner:
+            async with run_fleet(1, peer_secrets=[b"new"]) as fleet:
+                owners = [make_instance("d2", owner.port)]
+                fleet.directory.lost = True
+                fleet.directory.others["billing"] = owners
+                answer = await fleet.call()
+                assert outcome(answer) == (200, "complete", None)
+                assert owner.runs("k") == 1
+                assert owner.reports[0].request_id == (
+                    fleet.reports[0].request_id
+                )
+                # The owner has lost the service as well: no second hop.
+                owner.directory.lost = True
+                owner.directory.others["billing"] = owners
+                answer = await fleet.call()
+                assert outcome(answer) == (421, "not-run", "wrong-instance")
+                # A request with a ticket is never relayed.
+                ticket = owner.tickets.issue("billing")[0]
+                answer = await fleet.charge(ticket.replace(".d1", ".d2"))
+                assert outcome(answer) == (421, "not-run", "wrong-instance")
--- /dev/null
+++ b/src/hawthornmast/forwarding/tests/test_tickets.py
@@ -0,0 +1,217 @@
+"""Tests of tickets, alone and through a server."""
+
+import attrs
+import pytest
+import trio
+
+from hawthornmast.forwarding.tests.support import make_instance
+from hawthornmast.forwarding.tests.support import outcome
+from hawthornmast.forwarding.tests.support import run_fleet
+from hawthornmast.forwarding.tickets import FirstUse
+from hawthornmast.forwarding.tickets import Rejected
+from hawthornmast.forwarding.tickets import Repeat
+from hawthornmast.forwarding.tickets import TicketBook
+from hawthornmast.limits import Reason
+from hawthornmast.limits import Refusal
+
+
+@attrs.define
+class Clock:
+    now: float = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+class TestTicketBook:
+    @pytest.mark.parametrize(
+        ("change", "expected"),
+        [
+            (lambda t: t.replace(".d1", ".d2"), (421, "not-run")),
+            (lambda t: "0" * 16 + t[16:], (409, "unknown")),
+            (lambda t: t.replace(".1.", ".2."), (400, "not-run")),
+            (lambda t: t.replace(".1.", ".-1."), (400, "not-run")),
+            (lambda t: "x", (400, "not-run")),
+            (lambda t: "", (400, "not-run")),
+        ],
+        ids=["instance", "incarnation", "serial", "sign", "short", "empty"],
+    )
+    def test_other_tickets_are_rejected(self, change, expected):
+        book = TicketBook("d1", 0xABCDEF0123456789, clock=Clock())
+        ticket = book.issue("billing")[0]
+        used = book.redeem(change(ticket), "billing", b"")
+        assert (used.status, used.outcome) == expected
+        assert isinstance(book.redeem(ticket, "billing", b""), FirstUse)
+
+    def test_ticket_is_bound_to_its_service_and_request(self):
+        book = TicketBook("d1", 1, clock=Clock())
+        ticket = book.issue("billing")[0]
+        assert book.redeem(ticket, "metering", b"").status == 400
+        assert isinstance(book.redeem(ticket, "billing", b"a"), FirstUse)
+        assert isinstance(book.redeem(ticket, "billing", b"a"), Repeat)
+        assert book.redeem(ticket, "billing", b"b").outcome == "not-run"
+
+    def test_expired_tickets_never_run(self):
+        # Guards against a used ticket that runs again once it is forgotten.
+        clock = Clock()
+        book = TicketBook("d1", 1, lifetime_s=10, clock=clock)
+        used, unused = book.issue("billing", 2)
+        first = book.redeem(used, "billing", b"")
+        book.settle(first.record, "answer", size=10)
+        clock.now += 9.9
+        assert book.redeem(used, "billing", b"").record.answer == "answer"
+        clock.now += 0.2
+        for ticket in (used, unused):
+            assert book.redeem(ticket, "billing", b"").outcome == "unknown"
+        assert (len(book), book.stored_bytes) == (0, 0)
+
+    def test_stored_answers_are_bounded_and_serials_stay_used(self):
+        clock = Clock()
+        book = TicketBook("d1", 1, max_stored_bytes=100, clock=clock)
+        tickets = book.issue("billing", 5)
+        for ticket in tickets:
+            first = book.redeem(ticket, "billing", b"")
+            book.settle(first.record, ticket, size=40)
+        kept = [book.redeem(t, "billing", b"").record.answer for t in tickets]
+        assert kept == [None, None, None, tickets[3], tickets[4]]
+        assert book.stored_bytes == 80
+
+    def test_tickets_refused_for_lack_of_room_never_run(self):
+        clock = Clock()
+        book = TicketBook("d1", 1, max_records=1, clock=clock)
+        one, two = book.issue("billing", 2)
+        book.settle(book.redeem(one, "billing", b"").record)
+        assert book.redeem(two, "billing", b"").status == 503
+        later = book.issue("billing")[0]
+        clock.now += 59
+        assert isinstance(book.redeem(two, "billing", b""), Rejected)
+        assert isinstance(book.redeem(later, "billing", b""), Rejected)
+
+
+class TestAtMostOnce:
+    async def test_same_ticket_at_once_and_after_the_answer(self):
+        async with run_fleet() as fleet:
+            fleet.set_faults(service_s=0.1)
+            ticket = fleet.tickets.issue("billing")[0]
+            answers = []
+
+            async def charge():
+                answers.append(await fleet.charge(ticket))
+
+            async with trio.open_nursery() as nursery:
+                for _ in range(3):
+                    nursery.start_soon(charge)
+            await charge()
+            assert [outcome(a)[:2] for a in answers] == [(200, "complete")] * 4
+            assert len({a.body for a in answers}) == 1
+            assert fleet.runs("c") == 1
+            answer = await fleet.charge(ticket, body=b"other")
+            assert outcome(answer) == (
+                409,
+                "not-run",
+                "ticket-of-another-request",
+            )
+            assert fleet.runs("c") == 1
+
+    async def test_answer_that_was_not_kept_is_unknown(self):
+        async with run_fleet() as fleet:
+            fleet.set_faults(body_bytes=100_000)
+            ticket = fleet.tickets.issue("billing")[0]
+            assert len((await fleet.charge(ticket)).body) == 100_000
+            answer = await fleet.charge(ticket)
+            assert outcome(answer) == (409, "unknown", "outcome-not-kept")
+            assert fleet.runs("c") == 1
+
+    async def test_refused_ticket_does_not_run_later(self):
+        # Guards against a delayed copy of a request that was reported as
+        # not run, after which its client asked for a new ticket.
+        async with run_fleet() as fleet:
+            fleet.runtime.refusal = Refusal(
+                reason=Reason.QUEUE_FULL, retry_after=1.0
+            )
+            ticket = fleet.tickets.issue("billing")[0]
+            expected = (503, "not-run", "queue-full")
+            assert outcome(await fleet.charge(ticket)) == expected
+            fleet.runtime.refusal = None
+            assert outcome(await fleet.charge(ticket)) == expected
+            assert fleet.runs() == 0
+
+    async def test_repeat_after_the_service_moved_gets_its_answer(self):
+        # Guards against "not run" for a request that ran here before this
+        # daemon lost the service.
+        async with run_fleet() as fleet:
+            ticket = fleet.tickets.issue("billing")[0]
+            first = await fleet.charge(ticket)
+            fleet.directory.lost = True
+            fleet.directory.others["billing"] = [make_instance("d2", 99)]
+            again = await fleet.charge(ticket)
+            assert (again.status, again.body) == (200, first.body)
+            fresh = fleet.tickets.issue("billing")[0]
+            assert outcome(await fleet.charge(fresh))[:2] == (421, "not-run")
+
+    @pytest.mark.parametrize(
+        ("faults", "expected", "runs"),
+        [
+            ({"cut": "none"}, (502, "unknown", "upstream-failed"), 1),
+            ({"cut": "short"}, (502, "unknown", "upstream-failed"), 1),
+            ({"cut": "close"}, (502, "unknown", "upstream-failed"), 1),
+            ({"mute": True}, (504, "unknown", "deadline"), 1),
+            ({"shed_all": True}, (503, "not-run", "shed"), 0),
+            (
+                {"shed_all": True, "certified": False},
+                (503, "complete", None),
+                0,
+            ),
+        ],
+        ids=["none", "short", "close", "mute", "shed", "uncertified"],
+    )
+    async def test_failures_are_not_retried(self, faults, expected, runs):
+        async with run_fleet() as fleet:
+            fleet.runtime.retries = 0
+            fleet.set_faults(**faults)
+            headers = (("Hawthornmast-Timeout-Ms", "300"),)
+            answer = await fleet.charge(headers=headers)
+            assert outcome(answer) == expected
+            assert fleet.runs() == runs
+
+    async def test_certified_shed_and_refused_connection_move_on(self):
+        async with run_fleet(3) as fleet:
+            fleet.set_faults(0, shed_all=True)
+            broken = attrs.evolve(fleet.runtime.upstreams[1], port=1)
+            fleet.runtime.upstreams[1] = broken
+            assert outcome(await fleet.charge())[:2] == (200, "complete")
+            assert fleet.standins[2].count_runs("c") == 1
+            assert fleet.runtime.evidence == [
+                ("u0", "shed"),
+                ("u1", "failed"),
+                ("u2", "ok"),
+            ]
+
+    async def test_non_idempotent_requests_use_fresh_connections(self):
+        # Guards against an upstream that closes a kept connection just as
+        # the request is written, which would leave its outcome unknown.
+        async with run_fleet(1) as fleet:
+            await fleet.call()
+            fleet.set_faults(refuse_reused=True)
+            assert outcome(await fleet.charge())[:2] == (200, "complete")
+            assert fleet.standins[0].accepted == 2
+
+
+class TestDeadline:
+    async def test_pause_before_the_first_byte_runs_nothing(self):
+        # Guards against a paused process that writes a request whose client
+        # gave up: the clock passes the deadline after the slot was given.
+        clock = Clock()
+        async with run_fleet() as fleet:
+            begin = fleet.runtime.begin
+
+            def pause(upstream_id, entry_name):
+                clock.now += 60
+                return begin(upstream_id, entry_name)
+
+            clock.now = trio.current_time()
+            fleet.runtime.begin = pause
+            fleet.upstreams._clock = clock
+            answer = await fleet.charge()
+            assert outcome(answer) == (503, "not-run", "deadline")
+            assert fleet.runs() == 0
