--- a/standins/passthrough.py
+++ b/standins/passthrough.py
@@ -2,6 +2,7 @@
 
 import argparse
 from collections import deque
+from collections.abc import Iterable
 import functools
 import itertools
 
@@ -78,7 +79,9 @@
         )
 
 
-def _filter(headers: h11.Headers) -> list[tuple[bytes, bytes]]:  # type: ignore
+def _filter(
+    headers: Iterable[tuple[bytes, bytes]],
+) -> list[tuple[bytes, bytes]]:
     return [pair for pair in headers if pair[0] not in _HOP_BY_HOP]
 
 
