--- a/src/hawthornmast/catalogue/service.py
+++ b/src/hawthornmast/catalogue/service.py
@@ -124,7 +124,8 @@
         ),
     )
     retry_ratio: float = attrs.field(
-        default=0.1, metadata=describe(rules.Share())
+        default=0.1,
+        metadata=describe(rules.Share(unit="retries per request")),
     )
 
 
