--- a/src/hawthornmast/administration/metrics.py
+++ b/src/hawthornmast/administration/metrics.py
@@ -55,13 +55,30 @@
 class BadInput(enum.StrEnum):
     """Kinds of input that is refused as malformed."""
 
-    REQUEST = "request"
-    RESPONSE = "response"
-    HEADER = "header"
-    TICKET = "ticket"
-    PEER_FRAME = "peer-frame"
-    PEER_AUTHENTICATION = "peer-authentication"
+    BAD_TARGET = "bad-target"
+    BAD_TICKET = "bad-ticket"
+    BARE_LINE_FEED = "bare-line-feed"
+    BODY_TOO_LONG = "body-too-long"
     CONFIGURATION = "configuration"
+    CONNECT = "connect"
+    CONNECTIONS = "connections"
+    CUT_BODY = "cut-body"
+    FOLDED_HEADER = "folded-header"
+    FORGED_RELAY = "forged-relay"
+    HEADER_TOO_LONG = "header-too-long"
+    NO_HOST = "no-host"
+    OTHER = "other"
+    PEER_FRAME = "peer-frame"
+    PROTOCOL = "protocol"
+    REPEATED_HEADER = "repeated-header"
+    SLOW = "slow"
+    TOO_MANY_HEADERS = "too-many-headers"
+    TWO_BODY_LENGTHS = "two-body-lengths"
+    UPGRADE = "upgrade"
+
+    @classmethod
+    def _missing_(cls, value: object) -> "BadInput":
+        return cls.OTHER
 
 
 class Direction(enum.StrEnum):
--- a/src/hawthornmast/catalogue/service.py
+++ b/src/hawthornmast/catalogue/service.py
@@ -174,6 +174,13 @@
         # The small constant keeps 0.7 * 10 from rounding up to 8.
         return math.ceil(self.floor * listed - 1e-9)
 
+    def entry_named(self, name: str) -> Entry | None:
+        """Return the entry with a name."""
+        for entry in self.entries:
+            if entry.name == name:
+                return entry
+        return None
+
     def find_entry(self, method: str, path: str) -> Result[Entry, NoEntry]:
         """Return the entry with the longest path that matches a request.
 
--- /dev/null
+++ b/src/hawthornmast/cli/__main__.py
@@ -0,0 +1,8 @@
+"""Allows ``python -m hawthornmast.cli``."""
+
+import sys
+
+from hawthornmast.cli import main
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/hawthornmast/configuration/store.py
+++ b/src/hawthornmast/configuration/store.py
@@ -203,6 +203,18 @@
         self._buckets[bucket] = total & _BUCKET_MASK
         self._index[key] = (revision, digest)
 
+    @property
+    def highest_revision(self) -> int:
+        """Highest revision in the index, or 0."""
+        return max((entry[0] for entry in self._index.values()), default=0)
+
+    def count_keys(self, prefix: str) -> int:
+        """Return the number of keys with a prefix that are not deleted."""
+        return sum(
+            bool(digest) and key.startswith(prefix)
+            for key, (_, digest) in self._index.items()
+        )
+
     @property
     def buckets(self) -> bytes:
         """Digests of the buckets, 8 bytes each."""
--- a/src/hawthornmast/daemon/process.py
+++ b/src/hawthornmast/daemon/process.py
@@ -29,6 +29,7 @@
 def run_daemon(settings: Settings) -> int:
     """Run a daemon until SIGTERM or SIGINT; return the exit status."""
     configure_logging(settings.log.level)
+    status = 0
     try:
         trio.run(_run, settings)
     except* OSError as group:
@@ -40,8 +41,8 @@
             step="start",
             detail=group.exceptions[0],
         )
-        return 1
-    return 0
+        status = 1
+    return status
 
 
 async def _run(settings: Settings) -> None:
--- a/src/hawthornmast/daemon/reports.py
+++ b/src/hawthornmast/daemon/reports.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from hawthornmast.administration import BadInput
 from hawthornmast.administration import Metrics
 from hawthornmast.administration import RequestLog
 from hawthornmast.administration import RequestRecord
@@ -76,7 +77,7 @@
 
     def count_bad_input(self, kind: str) -> None:
         """Count input from clients that was refused as malformed."""
-        self._metrics.count_bad_input(kind)
+        self._metrics.count_bad_input(BadInput(kind))
 
     def _count(self, report: RequestReport) -> None:
         service = self._services.known.get(report.service)
--- a/src/hawthornmast/daemon/runtime.py
+++ b/src/hawthornmast/daemon/runtime.py
@@ -21,6 +21,7 @@
 from hawthornmast.health import Attempt
 from hawthornmast.health import Evidence
 from hawthornmast.health import HealthMonitor
+from hawthornmast.health import Standing
 from hawthornmast.limits import Admission
 from hawthornmast.limits import Dispatcher
 from hawthornmast.limits import Refusal
@@ -183,7 +184,6 @@
         """Apply a new revision of the service."""
         self.service = service
         self._set_budgets()
-        self.monitor.update_service(service)
         self.dispatcher.update_service(service)
 
     def update_lists(
@@ -219,7 +219,12 @@
             else upstream
             for upstream in listed
         )
-        self.monitor.update(self._upstreams, self._group, view=self._view)
+        self.monitor.update(
+            self._upstreams,
+            self._group,
+            view=self._view,
+            service=self.service,
+        )
         self.pool.update(self._upstreams)
         self.allocator.update(self._upstreams, self._group)
         self.dispatcher.kick()
@@ -243,5 +248,6 @@
     def _check_term(self) -> None:
         self.allocator.check_term()
 
-    def _kick(self) -> None:
+    def _kick(self, upstream_id: str, standing: Standing) -> None:
+        del upstream_id, standing
         self.dispatcher.kick()
--- a/src/hawthornmast/daemon/services.py
+++ b/src/hawthornmast/daemon/services.py
@@ -130,7 +130,7 @@
         runtime.update_lists(
             self._directory.upstreams(service_name),
             [daemon.instance_id for daemon in group],
-            view=self._directory.daemons_revision,
+            view=str(self._directory.daemons_revision),
         )
 
     def refresh_all(self) -> None:
--- a/src/hawthornmast/health/__init__.py
+++ b/src/hawthornmast/health/__init__.py
@@ -8,7 +8,11 @@
 from hawthornmast.health.standing import Evidence
 from hawthornmast.health.standing import Standing
 
+MESSAGE_TYPES = (HealthReport, PermitGrant, PermitRequest)
+"""Messages between owners, for the peer network."""
+
 __all__ = [
+    "MESSAGE_TYPES",
     "Attempt",
     "Evidence",
     "HealthMonitor",
--- a/src/hawthornmast/health/monitor.py
+++ b/src/hawthornmast/health/monitor.py
@@ -243,6 +243,23 @@
         self._apply(now)
         self._send(now)
 
+    def describe(self, upstream_id: str) -> dict[str, object]:
+        """Return what the standing of an upstream rests on."""
+        state = self._states.get(upstream_id)
+        if state is None:
+            return {}
+        now = self._clock()
+        return {
+            "score": round(state.score.level, 2),
+            "failed_in_run": state.score.run_failed,
+            "ok_in_run": state.score.run_ok,
+            "sick": state.sick,
+            "denied": state.denied,
+            "ejected_for_s": round(max(0.0, state.ejected_until - now), 3),
+            "hold_off_for_s": round(max(0.0, state.holdoff.until - now), 3),
+            "permits_of_group": self.budget.permits.budget,
+        }
+
     def list_ejected(self) -> list[str]:
         """Return the upstreams that are ejected now."""
         now = self._clock()
--- a/src/hawthornmast/peers/network.py
+++ b/src/hawthornmast/peers/network.py
@@ -117,7 +117,7 @@
             self._instance.peer_port, host=self._instance.host
         )
         self._nursery = nursery
-        nursery.start_soon(trio.serve_listeners, self._accept, self._listeners)
+        nursery.start_soon(self._listen)
         self.set_neighbours(list(self._neighbours.values()))
 
     async def _listen(self) -> None:
--- a/standins/client.py
+++ b/standins/client.py
@@ -127,6 +127,7 @@
         verdict, status, reason, request_id = Verdict.NOT_RUN, 0, "", ""
         avoid: set[Address] = set()
         attempt = 0
+        may_have_run = False
         for attempt in range(1, ATTEMPTS + 1):
             address = await self._choose(service, avoid)
             if address is None:
@@ -141,12 +142,15 @@
                 break
             if verdict is Verdict.UNKNOWN and not idempotent:
                 break
+            may_have_run = may_have_run or verdict is Verdict.UNKNOWN
             avoid.add(address)
             left = deadline - trio.current_time()
             pause = self._random.uniform(0.02, 0.1) * attempt
             if left <= pause:
                 break
             await trio.sleep(pause)
+        if may_have_run and verdict is Verdict.NOT_RUN:
+            verdict = Verdict.UNKNOWN
         return CallRecord(
             key=key,
             service=service,
--- a/tools/deployments.py
+++ b/tools/deployments.py
@@ -61,7 +61,56 @@
     upstreams={"catalogue": 7, "subscriptions": 15, "billing": 12},
     slots=4,
     connections=400,
-    work=(),
+    work=(
+        Work(
+            service="billing",
+            method="POST",
+            path="/renewals",
+            rank=Rank.URGENT,
+            idempotent=False,
+            weight=2,
+        ),
+        Work(
+            service="billing",
+            method="GET",
+            path="/dispatch/boxes",
+            rank=Rank.STANDARD,
+        ),
+        Work(
+            service="subscriptions",
+            method="POST",
+            path="/boxes",
+            rank=Rank.URGENT,
+            idempotent=False,
+        ),
+        Work(
+            service="subscriptions",
+            method="POST",
+            path="/pauses",
+            rank=Rank.URGENT,
+            idempotent=False,
+        ),
+        Work(
+            service="subscriptions",
+            method="GET",
+            path="/delivery-dates",
+            rank=Rank.STANDARD,
+            weight=2,
+        ),
+        Work(
+            service="catalogue",
+            method="GET",
+            path="/products",
+            rank=Rank.BACKGROUND,
+            weight=3,
+        ),
+        Work(
+            service="catalogue",
+            method="GET",
+            path="/size-guide",
+            rank=Rank.STANDARD,
+        ),
+    ),
 )
 
 FLEXWERK = Deployment(
@@ -70,7 +119,50 @@
     upstreams={"metering": 6, "dispatch": 10, "settlement": 9},
     slots=6,
     connections=330,
-    work=(),
+    work=(
+        Work(
+            service="dispatch",
+            method="POST",
+            path="/curtailments",
+            rank=Rank.URGENT,
+            idempotent=False,
+            weight=2,
+        ),
+        Work(
+            service="dispatch",
+            method="GET",
+            path="/curtailments",
+            rank=Rank.STANDARD,
+        ),
+        Work(
+            service="settlement",
+            method="POST",
+            path="/bids",
+            rank=Rank.URGENT,
+            idempotent=False,
+            weight=2,
+        ),
+        Work(
+            service="settlement",
+            method="GET",
+            path="/statements",
+            rank=Rank.STANDARD,
+        ),
+        Work(
+            service="metering",
+            method="PUT",
+            path="/reads",
+            rank=Rank.STANDARD,
+            weight=3,
+        ),
+        Work(
+            service="metering",
+            method="GET",
+            path="/load-history",
+            rank=Rank.BACKGROUND,
+            weight=2,
+        ),
+    ),
 )
 
 DEPLOYMENTS = (BRAMBLEWICK, FLEXWERK)
--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,342 @@
+"""A deployment as processes on loopback: platform, upstreams, daemons."""
+
+import json
+import pathlib
+import signal
+from typing import Any
+
+import attrs
+from result import Err
+from result import Ok
+from result import Result
+import trio
+
+from hawthornmast.common import Instance
+from hawthornmast.common import State
+from hawthornmast.common import StepError
+from hawthornmast.common import Upstream
+from hawthornmast.http import fetch
+from hawthornmast.http import Response
+from tools.deployments import Deployment
+from tools.processes import choose_ports
+from tools.processes import HOST
+from tools.processes import Process
+from tools.processes import ProcessGroup
+from tools.processes import ROOT
+
+SECRET = "demonstration-secret-on-loopback"
+START_S = 30.0
+DAEMONS_KEY = "instances/daemons"
+
+
+@attrs.define(kw_only=True, eq=False)
+class Member:
+    """A daemon with its process; ``process`` is None before its start."""
+
+    instance: Instance
+    admin_port: int
+    settings: pathlib.Path
+    process: Process | None = None
+
+
+@attrs.define(kw_only=True, eq=False)
+class Backend:
+    """An upstream stand-in with its process."""
+
+    service: str
+    upstream: Upstream
+    control_port: int
+    process: Process
+
+
+class Fleet:
+    """One deployment; all processes run on this machine.
+
+    Parameters
+    ----------
+    deployment
+        Zones, services and sizes.
+    group
+        Where processes are started.
+    folder
+        Where settings files go.
+    daemons
+        Number of daemons, spread over the zones.
+    service_ms
+        Milliseconds that an upstream needs for a request.
+    drain_grace_ms
+        Grace period of each daemon.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        *,
+        group: ProcessGroup,
+        folder: pathlib.Path,
+        daemons: int = 6,
+        service_ms: float = 5.0,
+        drain_grace_ms: int = 5000,
+    ) -> None:
+        self.deployment = deployment
+        self.members: list[Member] = []
+        self.backends: list[Backend] = []
+        self._group = group
+        self._folder = folder
+        self._count = daemons
+        self._service_ms = service_ms
+        self._drain_grace_ms = drain_grace_ms
+        self.platform_port = 0
+        self._platform_control = 0
+
+    async def start(self) -> None:
+        """Start all processes and wait until each daemon serves."""
+        ports = iter(
+            choose_ports(
+                2
+                + 3 * self._count
+                + 2 * sum(self.deployment.upstreams.values())
+            )
+        )
+        self.platform_port, self._platform_control = next(ports), next(ports)
+        name = self.deployment.name
+        self._group.start(
+            f"{name}-platform",
+            "standins.platform",
+            "--port",
+            str(self.platform_port),
+            "--control-port",
+            str(self._platform_control),
+        )
+        for service, count in self.deployment.upstreams.items():
+            for number in range(count):
+                self._start_backend(service, number, next(ports), next(ports))
+        for number in range(self._count):
+            self._add_member(number, next(ports), next(ports), next(ports))
+        await self.publish_all()
+        for member in self.members:
+            self.start_member(member)
+        for backend in self.backends:
+            await self._wait_for(backend.control_port, "/counts")
+        for member in self.members:
+            await self.wait_serving(member)
+
+    def _start_backend(
+        self, service: str, number: int, port: int, control_port: int
+    ) -> None:
+        zones = self.deployment.zones
+        upstream = Upstream(
+            upstream_id=f"{service}-{number}",
+            zone=zones[number % len(zones)],
+            host=HOST,
+            port=port,
+            slots=self.deployment.slots,
+            connections=self.deployment.connections,
+        )
+        process = self._group.start(
+            f"{self.deployment.name}-{upstream.upstream_id}",
+            "standins.upstream",
+            "--port",
+            str(port),
+            "--control-port",
+            str(control_port),
+            "--slots",
+            str(upstream.slots),
+            "--connections",
+            str(upstream.connections),
+            "--service-ms",
+            str(self._service_ms),
+            "--seed",
+            str(number),
+        )
+        self.backends.append(
+            Backend(
+                service=service,
+                upstream=upstream,
+                control_port=control_port,
+                process=process,
+            )
+        )
+
+    def _add_member(
+        self, number: int, port: int, peer_port: int, admin_port: int
+    ) -> None:
+        zones = self.deployment.zones
+        instance = Instance(
+            instance_id=f"{self.deployment.name}-entry-{number}",
+            zone=zones[number % len(zones)],
+            host=HOST,
+            port=port,
+            peer_port=peer_port,
+        )
+        settings = self._folder / f"{instance.instance_id}.toml"
+        self.members.append(
+            Member(instance=instance, admin_port=admin_port, settings=settings)
+        )
+        settings.write_text(
+            f"""\
+[instance]
+id = "{instance.instance_id}"
+zone = "{instance.zone}"
+host = "{HOST}"
+port = {port}
+peer_port = {peer_port}
+admin_port = {admin_port}
+
+[platform]
+host = "{HOST}"
+port = {self.platform_port}
+
+[peers]
+secrets = ["{SECRET}"]
+
+[limits]
+drain_grace_ms = {self._drain_grace_ms}
+""",
+            encoding="utf-8",
+        )
+
+    def start_member(self, member: Member) -> None:
+        """Start the process of a daemon, again if it ended before."""
+        member.process = self._group.start(
+            member.instance.instance_id,
+            "hawthornmast.cli",
+            "daemon",
+            str(member.settings),
+        )
+
+    async def wait_serving(self, member: Member) -> None:
+        """Wait until a daemon serves; raises TooSlowError after START_S."""
+        with trio.fail_after(START_S):
+            while True:
+                done = await self.ask_admin(member, "/v1/status")
+                serving = done.is_ok() and done.unwrap()["state"] == "serving"
+                if serving and await self._accepts(member.instance):
+                    return
+                await trio.sleep(0.05)
+
+    async def _accepts(self, instance: Instance) -> bool:
+        done = await fetch(
+            instance.host,
+            instance.port,
+            "GET",
+            "/.well-known/hawthornmast/addresses?service="
+            + next(iter(self.deployment.upstreams)),
+        )
+        return done.is_ok() and done.unwrap().status == 200
+
+    async def publish_all(self) -> None:
+        """Publish the catalogue and all lists."""
+        await self._wait_for(self._platform_control, "/control/calls")
+        for service in self.deployment.upstreams:
+            document = ROOT / "examples" / self.deployment.name
+            text = (document / f"{service}.toml").read_text(encoding="utf-8")
+            await self.publish(f"catalogue/services/{service}", text)
+            await self.publish_upstreams(service)
+        await self.publish_daemons()
+
+    async def publish_upstreams(
+        self, service: str, *, leaving: tuple[str, ...] = ()
+    ) -> None:
+        """Publish the list of a service's upstreams."""
+        listed = [
+            attrs.evolve(backend.upstream, state=State.LEAVING)
+            if backend.upstream.upstream_id in leaving
+            else backend.upstream
+            for backend in self.backends
+            if backend.service == service
+        ]
+        await self.publish(
+            f"instances/upstreams/{service}",
+            json.dumps([attrs.asdict(item) for item in listed]),
+        )
+
+    async def publish_daemons(self, *, gone: tuple[str, ...] = ()) -> None:
+        """Publish the list of daemons without those that are gone."""
+        listed = [
+            attrs.asdict(member.instance)
+            for member in self.members
+            if member.instance.instance_id not in gone
+        ]
+        await self.publish(DAEMONS_KEY, json.dumps(listed))
+
+    async def publish(self, key: str, text: str) -> int:
+        """Publish a value and return its revision."""
+        response = await self.control_platform(f"put?key={key}", text.encode())
+        return int(response.json()["revision"])
+
+    async def control_platform(
+        self, command: str, body: bytes = b""
+    ) -> Response:
+        """Run a control command of the platform stand-in."""
+        done = await fetch(
+            HOST,
+            self._platform_control,
+            "POST",
+            f"/control/{command}",
+            body=body,
+        )
+        return done.unwrap()
+
+    async def set_faults(self, backend: Backend, **faults: Any) -> None:
+        """Change how an upstream behaves."""
+        done = await fetch(
+            HOST,
+            backend.control_port,
+            "POST",
+            "/faults",
+            body=json.dumps(faults).encode(),
+        )
+        assert done.unwrap().status == 200, done.unwrap().body
+
+    async def read_runs(self) -> list[dict[str, Any]]:
+        """Return every execution that the upstreams logged."""
+        runs: list[dict[str, Any]] = []
+        for backend in self.backends:
+            done = await fetch(
+                HOST, backend.control_port, "GET", "/log", timeout=20
+            )
+            for run in done.unwrap().json():
+                runs.append({**run, "upstream": backend.upstream.upstream_id})
+        return runs
+
+    async def ask_admin(
+        self, member: Member, path: str
+    ) -> Result[Any, StepError]:
+        """Return the JSON answer of a daemon's administration API."""
+        done = await fetch(HOST, member.admin_port, "GET", path)
+        if done.is_err():
+            return Err(done.unwrap_err())
+        return Ok(done.unwrap().json())
+
+    def find_member(self, instance_id: str) -> Member:
+        """Return a daemon by its identifier."""
+        for member in self.members:
+            if member.instance.instance_id == instance_id:
+                return member
+        raise KeyError(instance_id)
+
+    def kill(self, member: Member) -> None:
+        """End a daemon at once."""
+        assert member.process is not None
+        member.process.kill()
+
+    def pause(self, member: Member) -> None:
+        """Stop a daemon's process without ending it."""
+        assert member.process is not None
+        member.process.signal(signal.SIGSTOP)
+
+    def resume(self, member: Member) -> None:
+        """Continue a paused process."""
+        assert member.process is not None
+        member.process.signal(signal.SIGCONT)
+
+    async def stop(self) -> list[Process]:
+        """Stop all daemons gracefully; return those that did not end."""
+        processes = [m.process for m in self.members if m.process is not None]
+        return await self._group.stop(processes)
+
+    async def _wait_for(self, port: int, path: str) -> None:
+        with trio.fail_after(START_S):
+            while (await fetch(HOST, port, "GET", path)).is_err():
+                await trio.sleep(0.05)
