Name the refusal reasons as the forwarding slice does

Reasons outside this set share the label value other, so a set with other spellings would have merged most refusals. Malformed requests keep to the bad-input counter and appear as other here; listing every kind of bad input twice was ruled out.

--- a/src/hawthornmast/administration/metrics.py
+++ b/src/hawthornmast/administration/metrics.py
@@ -34,17 +34,23 @@
 
 REFUSAL_REASONS = frozenset(
     {
-        "ambiguous-path",
+        "bad-count",
+        "bad-ticket",
+        "client-left",
         "closing",
+        "connections",
         "deadline",
         "displaced",
         "method",
+        "no-entry",
+        "no-owner",
+        "no-page",
+        "no-service",
         "no-upstream",
-        "path",
         "queue-full",
-        "service",
         "shed",
         "ticket-required",
+        "ticket-void",
         "wrong-instance",
     }
 )
