--- a/src/hawthornmast/catalogue/tests/test_documents.py
+++ b/src/hawthornmast/catalogue/tests/test_documents.py
@@ -23,6 +23,9 @@
 idempotent = false
 """
 
+# A busy machine may take longer than the default for one example.
+_UNTIMED = hypothesis.settings(deadline=None)
+
 
 def _parse(text):
     return catalogue.parse_service(text, source="billing.toml")
@@ -115,14 +118,12 @@
         problems = _parse(text).unwrap_err()
         assert all(len(problem.value) < 300 for problem in problems)
 
-    # A busy machine may take longer than the default for one example.
-    @hypothesis.settings(deadline=None)
+    @_UNTIMED
     @given(st.text() | st.text(alphabet='[]=".\n,{}entrynamefloor01').map(str))
     def test_never_raises(self, text):
         assert _parse(text).is_err()
 
-    # A busy machine may take longer than the default for one example.
-    @hypothesis.settings(deadline=None)
+    @_UNTIMED
     @given(
         st.sampled_from([line for line in VALID.splitlines() if "=" in line]),
         st.sampled_from(["[]", "{}", "[[1]]", "-1", "1e400", "2001-01-01"]),
@@ -137,8 +138,7 @@
         text = "".join(f"key{number} = 1\n" for number in range(20_000))
         assert len(_parse(text).unwrap_err()) == tables.MAX_PROBLEMS
 
-    # A busy machine may take longer than the default for one example.
-    @hypothesis.settings(deadline=None)
+    @_UNTIMED
     @given(_services())
     def test_round_trip(self, service):
         # Guards against values that change between stand-in and daemon.
