Write heads directly and keep one cancel scope per connection

A profile showed h11 validating each header a second time when it sends, and trio registering two deadlines per request. Heads are now joined from headers that h11 validated when it received them, with a framing event to keep its state. Limits on reading and writing are plain numbers that the server checks with the poll for clients that left.

A slow client of a streamed answer no longer counts against the upstream.

--- a/src/hawthornmast/forwarding/connection.py
+++ b/src/hawthornmast/forwarding/connection.py
@@ -1,5 +1,6 @@
 """One connection of a client."""
 
+import math
 from typing import Protocol
 
 import attrs
@@ -17,6 +18,8 @@
 from hawthornmast.forwarding.messages import refuse
 from hawthornmast.forwarding.messages import Trace
 from hawthornmast.forwarding.upstream import Exchange
+from hawthornmast.forwarding.writing import read_headers
+from hawthornmast.forwarding.writing import write_response
 
 _READ_BYTES = 16_384
 _NO_BODY = frozenset({204, 304})
@@ -97,7 +100,11 @@
     ) -> None:
         self.sock = sock
         self.idle = True
+        # The server cancels this scope once the time is past the limit. A
+        # plain number is cheaper to change than a scope's deadline.
         self.reading = trio.CancelScope()
+        self.limit = math.inf
+        self._step = ""
         self.running = trio.CancelScope()
         self.trace = Trace()
         self._host = host
@@ -110,8 +117,13 @@
     async def serve(self) -> None:
         """Serve until the connection ends, and close it."""
         try:
-            while await self._serve_one():
-                self._connection.start_next_cycle()
+            with self.reading:
+                while await self._serve_one():
+                    self._connection.start_next_cycle()
+            if self.reading.cancelled_caught and not self.idle and self._step:
+                bad = BadInputError(408, f"slow-{self._step}")
+                with trio.move_on_after(self._limits.write_s):
+                    await self._refuse_input(bad, None)
         except (OSError, trio.ClosedResourceError):
             pass
         finally:
@@ -120,31 +132,26 @@
     async def _serve_one(self) -> bool:
         request: ClientRequest | None = None
         bad: BadInputError | None = None
-        self.reading = trio.CancelScope(
-            deadline=trio.current_time() + self._limits.idle_s
-        )
+        self.limit = trio.current_time() + self._limits.idle_s
         self.idle = not self._connection.trailing_data[0]
-        step = "header"
+        self._step = "header"
         try:
-            with self.reading:
-                head = await self._read_head()
-                if head is None:
-                    return False
-                step = "body"
-                request = self._parse(head)
-                refused = self._check_early(request)
-                if refused is None:
-                    await self._read_body(request)
+            head = await self._read_head()
+            if head is None:
+                return False
+            self._step = "body"
+            request = self._parse(head)
+            refused = self._check_early(request)
+            if refused is None:
+                await self._read_body(request)
         except BadInputError as error:
             bad = error
         except h11.RemoteProtocolError as error:
             status = error.error_status_hint
             kind = "header-too-long" if status == 431 else "protocol"
             bad = BadInputError(status, kind, str(error))
-        if self.reading.cancelled_caught:
-            if self.idle:
-                return False
-            bad = BadInputError(408, f"slow-{step}")
+        self._step = ""
+        self.limit = math.inf
         if bad is not None:
             await self._refuse_input(bad, request)
             return False
@@ -160,9 +167,7 @@
                 data = await self.sock.recv(_READ_BYTES)
                 if data and self.idle:
                     self.idle = False
-                    self.reading.deadline = (
-                        trio.current_time() + self._limits.header_s
-                    )
+                    self.limit = trio.current_time() + self._limits.header_s
                 connection.receive_data(data)
             elif type(event) is h11.Request:
                 self.idle = False
@@ -187,7 +192,7 @@
     def _parse(self, head: h11.Request) -> ClientRequest:
         method = head.method.decode("ascii")
         target = head.target.decode("ascii")
-        headers: RawHeaders = list(head.headers)
+        headers = read_headers(head)
         if len(headers) > self._limits.header_count:
             raise BadInputError(431, "too-many-headers")
         if sum(len(k) + len(v) for k, v in headers) + len(target) > (
@@ -256,7 +261,7 @@
 
     async def _read_body(self, request: ClientRequest) -> None:
         connection = self._connection
-        self.reading.deadline = request.arrived + self._limits.body_s
+        self.limit = request.arrived + self._limits.body_s
         if connection.they_are_waiting_for_100_continue:
             await self._send(
                 h11.InformationalResponse(status_code=100, headers=[])
@@ -324,22 +329,21 @@
         )
 
     async def _write(self, request: ClientRequest, answer: Answer) -> bool:
+        body = answer.body
+        length: bytes | None = b"%d" % len(body)
+        if request.method == "HEAD":
+            length, body = answer.length or length, b""
+        if answer.status in _NO_BODY:
+            length, body = None, b""
         connection = self._connection
-        headers = answer.head(request.request_id)
-        with_body = request.method != "HEAD"
-        if answer.status not in _NO_BODY:
-            length = b"%d" % len(answer.body)
-            if not with_body:
-                length = answer.length or length
-            headers.append((b"content-length", length))
-        self._add_close(headers)
-        data = connection.send(
-            h11.Response(status_code=answer.status, headers=headers)
+        data = write_response(
+            connection,
+            answer.status,
+            answer.head(request.request_id),
+            body,
+            length=length,
+            close=self._host.closing or connection.their_state is not h11.DONE,
         )
-        assert data is not None
-        if with_body and answer.body and answer.status not in _NO_BODY:
-            data += connection.send(h11.Data(data=answer.body)) or b""
-        data += connection.send(h11.EndOfMessage()) or b""
         return await self._send_bytes(data)
 
     def _add_close(self, headers: RawHeaders) -> None:
@@ -360,16 +364,20 @@
             )
             data = connection.send(event) or b""
             part = answer.body
+            # The entry's deadline limits the time that a client may take.
+            self.trace.streaming = True
             while part:
                 data += connection.send(h11.Data(data=part)) or b""
                 if not await self._send_bytes(data):
                     self.trace.left = True
                     return False
                 data = b""
+                self.trace.streaming = False
                 try:
                     part = await exchange.read()
                 except (OSError, h11.RemoteProtocolError):
                     return False
+                self.trace.streaming = True
             data = connection.send(h11.EndOfMessage()) or b""
             return not data or await self._send_bytes(data)
 
@@ -403,16 +411,19 @@
             await self._send_bytes(data)
 
     async def _send_bytes(self, data: bytes) -> bool:
-        """Send all bytes; return False when the client does not take them."""
-        with trio.move_on_after(self._limits.write_s):
-            try:
-                sent = await self.sock.send(data)
+        """Send all bytes; return False when the client is gone."""
+        try:
+            sent = await self.sock.send(data)
+            if sent < len(data):
+                before = self.limit
+                if not self.trace.streaming:
+                    self.limit = trio.current_time() + self._limits.write_s
                 while sent < len(data):
                     sent += await self.sock.send(data[sent:])
-            except OSError:
-                return False
-            return True
-        return False
+                self.limit = before
+        except OSError:
+            return False
+        return True
 
     async def _linger(self) -> None:
         """Read what the client still sends, so that it gets the answer.
--- a/src/hawthornmast/forwarding/forwarder.py
+++ b/src/hawthornmast/forwarding/forwarder.py
@@ -6,7 +6,6 @@
 import random
 
 import attrs
-import h11
 from result import Err
 import trio
 
@@ -32,6 +31,7 @@
 from hawthornmast.forwarding.upstream import Exchange
 from hawthornmast.forwarding.upstream import Progress
 from hawthornmast.forwarding.upstream import UpstreamClient
+from hawthornmast.forwarding.upstream import UpstreamRequest
 from hawthornmast.health import Evidence
 
 BUFFER_BYTES = 65_536
@@ -288,7 +288,6 @@
             sent = await self._upstreams.send(
                 upstream,
                 _build(request, headers, left_s),
-                request.body,
                 progress,
                 deadline=attempts.deadline,
                 fresh=not entry.idempotent,
@@ -347,7 +346,7 @@
     def _judge_cancelled(
         self, trace: Trace, entry: Entry, progress: Progress
     ) -> Evidence:
-        if trace.left or not progress.started:
+        if trace.left or trace.streaming or not progress.started:
             return Evidence.NEUTRAL
         spent = self._clock() - progress.started_at
         if spent >= _FAIR_PART * entry.deadline_ms / 1000:
@@ -440,7 +439,6 @@
                 sent = await self._upstreams.send(
                     _as_upstream(owner),
                     _build(request, headers, scope.deadline - self._clock()),
-                    request.body,
                     progress,
                     deadline=scope.deadline,
                     fresh=False,
@@ -516,15 +514,19 @@
 
 def _build(
     request: ClientRequest, headers: RawHeaders, left_s: float
-) -> h11.Request:
-    pairs = [(b"host", request.service.encode()), *headers]
-    pairs.append((b"hawthornmast-request-id", request.request_id.encode()))
+) -> UpstreamRequest:
     left_ms = max(1, int(left_s * 1000))
-    pairs.append((b"hawthornmast-timeout-ms", b"%d" % left_ms))
-    if request.framed:
-        pairs.append((b"content-length", b"%d" % len(request.body)))
-    return h11.Request(
-        method=request.method, target=request.target, headers=pairs
+    return UpstreamRequest(
+        method=request.method.encode(),
+        target=request.target.encode(),
+        headers=[
+            (b"host", request.service.encode()),
+            *headers,
+            (b"hawthornmast-request-id", request.request_id.encode()),
+            (b"hawthornmast-timeout-ms", b"%d" % left_ms),
+        ],
+        body=request.body,
+        framed=request.framed,
     )
 
 
--- a/src/hawthornmast/forwarding/messages.py
+++ b/src/hawthornmast/forwarding/messages.py
@@ -82,7 +82,15 @@
 
 @attrs.define(kw_only=True, eq=False)
 class Trace:
-    """What happened to a request on its way, for its report."""
+    """What happened to a request on its way, for its report.
+
+    Parameters
+    ----------
+    left
+        The client left before its answer was complete.
+    streaming
+        A part of a streamed answer is being written to the client.
+    """
 
     entry: str = ""
     owner: str = ""
@@ -91,6 +99,7 @@
     upstreams: list[str] = attrs.Factory(list)
     queue_s: float = 0.0
     left: bool = False
+    streaming: bool = False
 
 
 def refuse(
--- a/src/hawthornmast/forwarding/server.py
+++ b/src/hawthornmast/forwarding/server.py
@@ -235,6 +235,10 @@
     async def _watch_clients(self) -> None:
         while True:
             await trio.sleep(_WATCH_S)
+            now = trio.current_time()
+            for connection in self._connections:
+                if connection.limit <= now:
+                    connection.reading.cancel()
             if not self._watched:
                 continue
             poller = select.poll()
--- a/src/hawthornmast/forwarding/upstream.py
+++ b/src/hawthornmast/forwarding/upstream.py
@@ -14,6 +14,8 @@
 from hawthornmast.common import StepError
 from hawthornmast.common import Upstream
 from hawthornmast.forwarding.headers import RawHeaders
+from hawthornmast.forwarding.writing import read_headers
+from hawthornmast.forwarding.writing import write_request
 
 _READ_BYTES = 65536
 _MAX_HEADER_BYTES = 32768
@@ -42,6 +44,17 @@
     started_at: float = 0.0
 
 
+@attrs.define(kw_only=True)
+class UpstreamRequest:
+    """A request with its whole body, ready to be sent."""
+
+    method: bytes
+    target: bytes
+    headers: RawHeaders
+    body: bytes = b""
+    framed: bool = False
+
+
 class _Link:
     """One connection to an upstream."""
 
@@ -94,7 +107,15 @@
         The whole body was read and its end was proved.
     """
 
-    __slots__ = ("_client", "_link", "body", "complete", "headers", "status")
+    __slots__ = (
+        "_client",
+        "_found",
+        "_link",
+        "body",
+        "complete",
+        "headers",
+        "status",
+    )
 
     def __init__(
         self, client: "UpstreamClient", link: _Link, head: h11.Response
@@ -102,16 +123,14 @@
         self._client = client
         self._link = link
         self.status = head.status_code
-        self.headers: RawHeaders = list(head.headers)
+        self.headers = read_headers(head)
+        self._found = dict(self.headers)
         self.body = bytearray()
         self.complete = False
 
     def header(self, name: bytes) -> bytes | None:
-        """Return the first value of a header; names are in lower case."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
+        """Return the last value of a header; names are in lower case."""
+        return self._found.get(name)
 
     async def read(self) -> bytes:
         """Return the next part of the body; empty when it is complete.
@@ -176,8 +195,7 @@
     async def send(
         self,
         upstream: Upstream,
-        request: h11.Request,
-        body: bytes,
+        request: UpstreamRequest,
         progress: Progress,
         *,
         deadline: float,
@@ -205,11 +223,14 @@
                 detail = f"all {upstream.connections} connections are in use"
                 return Err(StepError(step=step, detail=detail))
             step = "write"
-            connection = link.connection
-            data = connection.send(request) or b""
-            if body:
-                data += connection.send(h11.Data(data=body)) or b""
-            data += connection.send(h11.EndOfMessage()) or b""
+            data = write_request(
+                link.connection,
+                request.method,
+                request.target,
+                request.headers,
+                request.body,
+                framed=request.framed,
+            )
             now = self._clock()
             if now >= deadline:
                 return Err(StepError(step="deadline", detail="it passed"))
@@ -312,7 +333,7 @@
         return link
 
     async def _read_head(
-        self, link: _Link, request: h11.Request, progress: Progress
+        self, link: _Link, request: UpstreamRequest, progress: Progress
     ) -> Exchange:
         connection = link.connection
         while True:
--- /dev/null
+++ b/src/hawthornmast/forwarding/writing.py
@@ -0,0 +1,93 @@
+"""Heads of requests and responses as bytes.
+
+h11 validates each header again when it sends it. The headers that are passed
+on were validated when h11 received them, so they are written directly, and
+h11 is given an event with the framing headers only, which keep its state.
+"""
+
+from collections.abc import Iterable
+import functools
+
+import h11
+
+from hawthornmast.forwarding.headers import RawHeaders
+
+_END = h11.EndOfMessage()
+
+
+@functools.lru_cache(maxsize=1024)
+def _frame_request(method: bytes, length: int | None) -> h11.Request:
+    headers = [(b"host", b"upstream")]
+    if length is not None:
+        headers.append((b"content-length", b"%d" % length))
+    return h11.Request(method=method, target=b"/", headers=headers)
+
+
+@functools.lru_cache(maxsize=4096)
+def _frame_response(
+    status: int, length: bytes | None, close: bool
+) -> h11.Response:
+    headers = []
+    if length is not None:
+        headers.append((b"content-length", length))
+    if close:
+        headers.append((b"connection", b"close"))
+    return h11.Response(status_code=status, headers=headers)
+
+
+def read_headers(headers: h11.Request | h11.Response) -> RawHeaders:
+    """Return the pairs of a received head with names in lower case."""
+    # The list of raw items is several times faster than iteration.
+    items: Iterable[tuple[bytes, bytes]] = headers.headers.raw_items()
+    return [(name.lower(), value) for name, value in items]
+
+
+def _join(first: bytes, headers: RawHeaders, body: bytes) -> bytes:
+    lines = [b"%s: %s\r\n" % pair for pair in headers]
+    return b"".join((first, *lines, b"\r\n", body))
+
+
+def write_request(
+    connection: h11.Connection,
+    method: bytes,
+    target: bytes,
+    headers: RawHeaders,
+    body: bytes,
+    *,
+    framed: bool,
+) -> bytes:
+    """Return a whole request, with a declared length when it is framed.
+
+    Headers must come from a received head or hold no line ends.
+    """
+    connection.send(_frame_request(method, len(body) if framed else None))
+    if body:
+        connection.send(h11.Data(data=body))
+    connection.send(_END)
+    if framed:
+        headers = [*headers, (b"content-length", b"%d" % len(body))]
+    return _join(b"%s %s HTTP/1.1\r\n" % (method, target), headers, body)
+
+
+def write_response(
+    connection: h11.Connection,
+    status: int,
+    headers: RawHeaders,
+    body: bytes,
+    *,
+    length: bytes | None,
+    close: bool,
+) -> bytes:
+    """Return a whole response; an empty body may have another length.
+
+    Headers must come from a received head or hold no line ends.
+    """
+    connection.send(_frame_response(status, length, close))
+    if body:
+        connection.send(h11.Data(data=body))
+    connection.send(_END)
+    if length is not None:
+        headers = [*headers, (b"content-length", length)]
+    if close or connection.our_state is not h11.DONE:
+        headers = [*headers, (b"connection", b"close")]
+    return _join(b"HTTP/1.1 %d \r\n" % status, headers, body)
