Void the grants of a member that restarts under its identifier

The allocator kept counting the former incarnation as confirmed. It now recognises the restart by the demand's number and reserves the static share at once.

--- a/src/hawthornmast/limits/allocator.py
+++ b/src/hawthornmast/limits/allocator.py
@@ -8,6 +8,8 @@
 
 An upstream may be offered more than its slots in these cases:
 
+- A member restarts under its old identifier: by at most its static share,
+  until its first demand arrives, or for one term when it is the allocator.
 - Views differ: by at most the slots of one other view, until the lists agree.
 - A member lost the allocator while others ran requests on its static share:
   by those requests, until they finish.
@@ -260,6 +262,11 @@
         ):
             return
         now = self._clock()
+        if message.number <= peer.asked:
+            # A restarted member counts anew, uses its static share and has
+            # no grants; grants on their way to it still count.
+            peer.confirmed_at = float("-inf")
+            peer.granted = None
         peer.demand = [max(0, count) for count in message.demand]
         peer.held = dict(zip(message.upstreams, message.held, strict=False))
         peer.asked, peer.asked_at = message.number, now
--- a/src/hawthornmast/limits/tests/test_allocator.py
+++ b/src/hawthornmast/limits/tests/test_allocator.py
@@ -117,8 +117,10 @@
         """Return the requests beyond the slots, summed over upstreams."""
         used = {}
         for member in self.members.values():
-            for upstream, count in member.count_running().items():
-                used[upstream] = used.get(upstream, 0) + count
+            for upstream, end in member.running:
+                # A paused member hasn't noticed the end of its requests.
+                if end > self.now:
+                    used[upstream] = used.get(upstream, 0) + 1
         return sum(max(0, count - 4) for count in used.values())
 
     def count_idle(self):
