--- a/src/hawthornmast/limits/dispatcher.py
+++ b/src/hawthornmast/limits/dispatcher.py
@@ -25,6 +25,13 @@
 _RETRY_AFTER_S = 0.25
 """Least time before a refused request may profit from a new attempt."""
 
+_MARGIN = 3.0
+"""Mean service times that must remain; 95% of exponential ones are shorter.
+
+Without it a full queue serves its requests just before their deadlines and
+most of the work is lost.
+"""
+
 _LEAST_SHARE = 1e-6
 """Stands for a share of 0 in ratios of use per share."""
 
@@ -55,6 +62,10 @@
     running: int = 0
     turn: int = 0
     listed: bool = True
+    # Mean time between grants since requests began to wait; None until one
+    # was granted.
+    pace: float | None = None
+    paced_at: float = 0.0
 
     @property
     def share(self) -> float:
@@ -71,6 +82,15 @@
         # Equal use is resolved by the longest time since the last turn.
         return (*self.classify(slots), self.running / self.share, self.turn)
 
+    def record_pace(self, now: float) -> None:
+        """Count a grant to a request that waited."""
+        gap = now - self.paced_at
+        if self.pace is None:
+            self.pace = gap
+        else:
+            self.pace += _SMOOTHING * (gap - self.pace)
+        self.paced_at = now
+
 
 class Dispatcher:
     """Admits requests of one service to the slots of its pool.
@@ -172,6 +192,8 @@
         if refusal is not None:
             waiter.outcome = Err(refusal)
             return waiter
+        if not queue.waiting:
+            queue.pace, queue.paced_at = None, now
         queue.waiting[id(waiter)] = waiter
         self._waiting += 1
         self._dispatch()
@@ -246,7 +268,8 @@
         self, queue: _Queue, waiter: Waiter, now: float
     ) -> Refusal | None:
         entry = queue.entry
-        if now + self._estimate_wait(queue) > waiter.deadline:
+        latest = waiter.deadline - self._count_margin(waiter)
+        if now + self._estimate_wait(queue, now) > latest:
             return self._refuse(
                 Reason.DEADLINE, f"deadline_ms={entry.deadline_ms}"
             )
@@ -285,12 +308,24 @@
         ]
         return max(candidates, key=excess)
 
-    def _estimate_wait(self, queue: _Queue) -> float:
+    def _count_margin(self, waiter: Waiter) -> float:
+        """Return the seconds that must remain when a request starts.
+
+        At most half of its time, so that a high estimate of the service
+        time can't keep all requests from running and itself from falling.
+        """
+        half = (waiter.deadline - waiter.arrived) / 2
+        return min(_MARGIN * self._service_time, half)
+
+    def _estimate_wait(self, queue: _Queue, now: float) -> float:
         """Return the expected wait of a new request of the entry.
 
-        Requests of a lower class and of other entries beyond their turn are
-        not counted, so that the estimate never refuses what would be served.
+        The pace of grants to the entry includes what goes ahead of it while
+        it waits. Until it is known, the requests ahead by class are counted.
         """
+        if queue.waiting and queue.pace is not None:
+            pace = max(queue.pace, now - queue.paced_at)
+            return len(queue.waiting) * pace
         if not self._slots:
             return 0.0
         own = queue.classify(self._slots)
@@ -331,10 +366,11 @@
             if waiter is None or upstream is None:
                 return
             now = self._clock()
-            if now >= waiter.deadline:
+            if now >= waiter.deadline - self._count_margin(waiter):
                 self._pool.release(upstream.upstream_id)
                 self._settle(waiter, Err(self._refuse(Reason.DEADLINE)))
             else:
+                queue.record_pace(now)
                 self._grant(queue, waiter, upstream, now)
 
     def _sort_queues(self) -> list[_Queue]:
--- a/src/hawthornmast/limits/planning.py
+++ b/src/hawthornmast/limits/planning.py
@@ -5,11 +5,14 @@
 
 from hawthornmast.limits.division import Shares
 
-_MOVE_FRACTION = 8
-"""A busy member gives up slots only for a deficit of an eighth of a target.
+_INVERSION = 2
+"""Least deficit of a rank for which others give up slots of lower ranks."""
 
-Demand by rank varies with each request, and a moved slot stays idle until
-its new owner hears of it.
+_UNFAIR_FRACTION = 4
+"""Part of its target that a member must lack before equals give up slots.
+
+Demand varies with each request, and a moved slot stays idle until its new
+owner hears of it, so small differences cost more than they bring.
 """
 
 
@@ -109,7 +112,7 @@
         plan[name][key] += 1
         held[name] += 1
         wanted[name] -= 1
-    _move(plan, held, targets, wanted, demand)
+    _move(plan, held, targets, demand)
     return plan
 
 
@@ -117,35 +120,60 @@
     plan: Shares,
     held: dict[str, int],
     targets: Mapping[str, int],
-    wanted: dict[str, int],
     demand: Mapping[str, Sequence[int]],
 ) -> None:
     """Move slots from members above their target to members in need."""
-    large = {
-        name: wanted[name] >= max(2, targets[name] // _MOVE_FRACTION)
-        for name in plan
-    }
-    while True:
-        needy = [name for name in plan if wanted[name] > 0]
-        if not needy:
-            return
-        name = max(needy, key=lambda item: wanted[item])
-        donors = [
-            item
-            for item in plan
-            if held[item] > targets[item]
-            and (large[name] or held[item] > sum(demand[item]))
-        ]
-        if not donors:
-            # A smaller deficit has no more donors than the largest one.
-            return
-        donor = max(donors, key=lambda item: held[item] - targets[item])
-        key = max(
-            plan[donor],
-            key=lambda item: (plan[donor][item], -plan[name][item]),
-        )
-        plan[donor][key] -= 1
-        held[donor] -= 1
-        plan[name][key] += 1
-        held[name] += 1
-        wanted[name] -= 1
+    names = list(plan)
+    ranks = max((len(item) for item in demand.values()), default=0)
+    # A slot that its holder spends on lower ranks, or on nothing, moves to a
+    # member that lacks it for a higher rank.
+    for rank in range(ranks):
+        upto = {name: sum(demand[name][: rank + 1]) for name in names}
+        total = {name: sum(demand[name]) for name in names}
+        start = {
+            name: min(upto[name], targets[name]) - held[name] for name in names
+        }
+        while True:
+            needy = [
+                name
+                for name in names
+                if held[name] < min(upto[name], targets[name])
+            ]
+            if not needy:
+                break
+            name = max(needy, key=lambda item: upto[item] - held[item])
+            donors = [
+                item
+                for item in names
+                if held[item] > max(targets[item], upto[item])
+                and (start[name] >= _INVERSION or held[item] > total[item])
+            ]
+            if not donors:
+                break
+            _move_one(plan, held, targets, donors, name)
+    for name in names:
+        lack = min(targets[name], sum(demand[name])) - held[name]
+        if lack < max(_INVERSION, targets[name] // _UNFAIR_FRACTION):
+            continue
+        for _ in range(lack):
+            donors = [item for item in names if held[item] > targets[item]]
+            if not donors:
+                break
+            _move_one(plan, held, targets, donors, name)
+
+
+def _move_one(
+    plan: Shares,
+    held: dict[str, int],
+    targets: Mapping[str, int],
+    donors: list[str],
+    name: str,
+) -> None:
+    """Move one slot from the donor furthest above its target."""
+    donor = max(donors, key=lambda item: held[item] - targets[item])
+    own = plan[donor]
+    key = max(own, key=lambda item: (own[item], -plan[name][item]))
+    own[key] -= 1
+    held[donor] -= 1
+    plan[name][key] += 1
+    held[name] += 1
