Check the floor with seeded schedules of faults

The permit protocol is the only thing between a wrong ejection and the floor, so its checks run monitors on a virtual clock with delay, loss, reordering, cuts, pauses, kills, restarts, lagging lists and changes of the document.

The digest that owners confirm now includes the number of permits. Without it, a daemon cut off from the platform kept a permit of a longer list alive by the other owners' confirmations.

Seven defects can be switched on.

--- a/src/hawthornmast/health/budget.py
+++ b/src/hawthornmast/health/budget.py
@@ -70,7 +70,7 @@
 
     def update(self, group: tuple[str, ...], allowed: int, now: float) -> None:
         """Take over a group and a number of permits."""
-        self.owners.update(self._service, group)
+        self.owners.update(self._service, group, allowed)
         self.permits.update(group, allowed, now)
 
     def accept_report(
--- a/src/hawthornmast/health/owners.py
+++ b/src/hawthornmast/health/owners.py
@@ -8,9 +8,13 @@
 from hawthornmast.health.messages import Stamp
 
 
-def digest_group(service: str, group: tuple[str, ...]) -> str:
-    """Return a short name of a service's ordered owners."""
-    text = "\n".join((service, *group))
+def digest_group(service: str, group: tuple[str, ...], allowed: int) -> str:
+    """Return a short name of the ordered owners and number of permits.
+
+    The number is part of it, so that a daemon with an old list cannot keep
+    confirming permits that a shorter list or a higher floor took away.
+    """
+    text = "\n".join((service, str(allowed), *group))
     return hashlib.sha256(text.encode()).hexdigest()[:16]
 
 
@@ -46,12 +50,15 @@
         """Members of the group without this daemon."""
         return tuple(m for m in self.members if m != self._self_id)
 
-    def update(self, service: str, members: tuple[str, ...]) -> None:
+    def update(
+        self, service: str, members: tuple[str, ...], allowed: int
+    ) -> None:
         """Take over a group; confirmations of the old one end."""
-        if members == self.members:
+        digest = digest_group(service, members, allowed)
+        if digest == self.digest:
             return
         self.members = members
-        self.digest = digest_group(service, members)
+        self.digest = digest
         for owner in self._owners.values():
             owner.confirmed = None
 
--- a/src/hawthornmast/health/tests/simulation.py
+++ b/src/hawthornmast/health/tests/simulation.py
@@ -45,6 +45,8 @@
         Service of all monitors.
     make
         Constructor of a monitor.
+    tick_s
+        Seconds between two ticks of a monitor.
     """
 
     def __init__(
@@ -53,7 +55,9 @@
         service: Service,
         *,
         make: Callable[..., HealthMonitor] = HealthMonitor,
+        tick_s: float = TICK_S,
     ) -> None:
+        self._tick_s = tick_s
         self.rng = random.Random(seed)
         self.now = 1000.0
         self.service = service
@@ -102,6 +106,7 @@
     def resume(self, name: str) -> None:
         """Deliver at once what arrived during a pause, in any order."""
         waiting = self.paused.pop(name, [])
+        self.on_step()
         self.rng.shuffle(waiting)
         for message, sender in waiting:
             self.monitors[name].handle(message, sender)
@@ -113,7 +118,9 @@
         if name not in self.paused:
             monitor.tick()
             self.on_step()
-        self.call_at(self.now + TICK_S, lambda: self._tick(name, monitor))
+        self.call_at(
+            self.now + self._tick_s, lambda: self._tick(name, monitor)
+        )
 
     def _post(self, sender: str, peer: str, message: Any) -> bool:
         lost = (sender, peer) in self.cut or self.rng.random() < self.loss
--- /dev/null
+++ b/src/hawthornmast/health/tests/test_schedules.py
@@ -0,0 +1,37 @@
+"""The floor under seeded faults, and proof that the checks can fail."""
+
+import pytest
+
+from hawthornmast.health.tests import schedules
+from hawthornmast.health.tests.schedules import Defect
+
+
+class TestFloor:
+    """Guards against more ejections than the floor allows."""
+
+    @pytest.mark.parametrize("seed", [1, 11, 21, 31])
+    def test_keep_both_readings(self, seed):
+        found = schedules.run_schedules(10, seed)
+        assert [o for o in found if o.strict or o.per_daemon] == []
+        # A schedule in which nothing is ejected would prove nothing.
+        assert sum(o.ejections for o in found) > 100
+
+
+class TestChecks:
+    """Guards against checks that would pass on a broken mechanism."""
+
+    @pytest.mark.parametrize(
+        ("defect", "seed"),
+        [
+            (Defect.NO_PERMITS, 1),
+            (Defect.NO_HOLD, 9),
+            (Defect.NO_WAKE_CHECK, 11),
+            (Defect.GIVER_KEEPS, 4),
+            (Defect.NO_ECHO, 1),
+            (Defect.NO_CONFIRMATION, 43),
+            (Defect.NO_QUARANTINE, 2),
+        ],
+    )
+    def test_detect_defect(self, defect, seed):
+        found = schedules.run_schedules(1, seed, defect=defect)
+        assert sum(o.strict + o.per_daemon for o in found) > 0
