--- a/src/hawthornmast/administration/tests/test_metrics.py
+++ b/src/hawthornmast/administration/tests/test_metrics.py
@@ -55,7 +55,7 @@
         metrics.count_ejection(SERVICE)
         metrics.set_ejected(SERVICE, 1)
         metrics.forget_service("billing")
-        metrics.count_bad_input(administration.BadInput.TICKET)
+        metrics.count_bad_input(administration.BadInput.BAD_TICKET)
         metrics.count_peer_bytes(administration.Direction.SENT, 7)
         metrics.set_peers(3)
         metrics.set_revision(12)
