--- a/src/hawthornmast/forwarding/connection.py
+++ b/src/hawthornmast/forwarding/connection.py
@@ -141,7 +141,8 @@
                 return False
             self._step = "body"
             request = self._parse(head)
-            refused = self._check_early(request)
+            # Without a body the same checks are made when it runs.
+            refused = self._check_early(request) if request.framed else None
             if refused is None:
                 await self._read_body(request)
         except BadInputError as error:
@@ -175,8 +176,7 @@
             else:
                 return None
 
-    @staticmethod
-    def _check_lines(raw: bytes) -> None:
+    def _check_lines(self, raw: bytes) -> None:
         """Refuse folded headers and bare line feeds, which h11 accepts.
 
         Servers disagree about both, which allows requests to be smuggled.
@@ -184,6 +184,8 @@
         end = raw.find(b"\r\n\r\n")
         if end < 0:
             end = len(raw)
+        if end > self._limits.header_bytes:
+            raise BadInputError(431, "header-too-long")
         if raw.find(b"\n ", 0, end) >= 0 or raw.find(b"\n\t", 0, end) >= 0:
             raise BadInputError(400, "folded-header")
         if raw.count(b"\n", 0, end) != raw.count(b"\r\n", 0, end):
@@ -195,16 +197,9 @@
         headers = read_headers(head)
         if len(headers) > self._limits.header_count:
             raise BadInputError(431, "too-many-headers")
-        if sum(len(k) + len(v) for k, v in headers) + len(target) > (
-            self._limits.header_bytes
-        ):
-            raise BadInputError(431, "header-too-long")
-        found: dict[bytes, bytes] = {}
-        for name, value in headers:
-            if name in _SINGLE:
-                if name in found:
-                    raise BadInputError(400, "repeated-header", name.decode())
-                found[name] = value
+        found = dict(headers)
+        if len(found) < len(headers):
+            _check_repeated(headers)
         length = found.get(b"content-length")
         coding = found.get(b"transfer-encoding")
         if coding is not None:
@@ -457,6 +452,16 @@
 )
 
 
+def _check_repeated(headers: RawHeaders) -> None:
+    """Refuse headers that must not be repeated."""
+    seen = set()
+    for name, _ in headers:
+        if name in _SINGLE:
+            if name in seen:
+                raise BadInputError(400, "repeated-header", name.decode())
+            seen.add(name)
+
+
 def _parse_timeout(found: dict[bytes, bytes]) -> float | None:
     value = found.get(b"hawthornmast-timeout-ms")
     if value is None:
--- a/src/hawthornmast/forwarding/forwarder.py
+++ b/src/hawthornmast/forwarding/forwarder.py
@@ -96,14 +96,18 @@
         because its request may have run under an earlier configuration.
         """
         if request.ticket is None:
-            return self._check_catalogue(request)
+            selected = self._select(request)
+            return selected if isinstance(selected, Answer) else None
         if self._tickets.is_foreign(request.ticket):
             used = self._tickets.redeem(request.ticket, request.service, b"")
             assert isinstance(used, Rejected)
             return self._reject(used, request.service)
         return None
 
-    def _check_catalogue(self, request: ClientRequest) -> Answer | None:
+    def _select(
+        self, request: ClientRequest
+    ) -> Answer | tuple[ServiceRuntime, Entry] | None:
+        """Return a refusal, what runs the request, or None to relay it."""
         runtime = self._directory.runtime(request.service)
         if runtime is None:
             owners = self._directory.owners(request.service)
@@ -121,7 +125,7 @@
             return refuse(405, "method", headers=[(b"allow", value)])
         if not found.ok_value.idempotent and request.ticket is None:
             return refuse(428, "ticket-required", detail=found.ok_value.name)
-        return None
+        return runtime, found.ok_value
 
     async def run(
         self,
@@ -170,14 +174,13 @@
         scope: trio.CancelScope,
         deliver: Deliver,
     ) -> Answer:
-        refused = self._check_catalogue(request)
-        if refused is not None:
-            return refused
-        runtime = self._directory.runtime(request.service)
-        if runtime is None:
+        selected = self._select(request)
+        if isinstance(selected, Answer):
+            return selected
+        if selected is None:
             return await self._relay(request, scope, trace, deliver)
+        runtime, entry = selected
         service = runtime.service
-        entry = find_entry(service, request.method, request.path).unwrap()
         trace.entry, trace.owner = entry.name, entry.owner
         trace.rank, trace.revision = entry.rank.label, service.revision
         allowed_s = entry.deadline_ms / 1000
--- a/src/hawthornmast/forwarding/writing.py
+++ b/src/hawthornmast/forwarding/writing.py
@@ -2,7 +2,7 @@
 
 h11 validates each header again when it sends it. The headers that are passed
 on were validated when h11 received them, so they are written directly, and
-h11 is given an event with the framing headers only, which keep its state.
+h11 is given an event without a body, which moves its state in the same way.
 """
 
 from collections.abc import Iterable
@@ -13,26 +13,18 @@
 from hawthornmast.forwarding.headers import RawHeaders
 
 _END = h11.EndOfMessage()
+_NO_LENGTH = [(b"content-length", b"0")]
+_RESPONSE = h11.Response(status_code=200, headers=_NO_LENGTH)
+_LAST_RESPONSE = h11.Response(
+    status_code=200, headers=[*_NO_LENGTH, (b"connection", b"close")]
+)
 
 
-@functools.lru_cache(maxsize=1024)
-def _frame_request(method: bytes, length: int | None) -> h11.Request:
-    headers = [(b"host", b"upstream")]
-    if length is not None:
-        headers.append((b"content-length", b"%d" % length))
-    return h11.Request(method=method, target=b"/", headers=headers)
-
-
-@functools.lru_cache(maxsize=4096)
-def _frame_response(
-    status: int, length: bytes | None, close: bool
-) -> h11.Response:
-    headers = []
-    if length is not None:
-        headers.append((b"content-length", length))
-    if close:
-        headers.append((b"connection", b"close"))
-    return h11.Response(status_code=status, headers=headers)
+@functools.lru_cache(maxsize=64)
+def _frame_request(method: bytes) -> h11.Request:
+    return h11.Request(
+        method=method, target=b"/", headers=[(b"host", b"upstream")]
+    )
 
 
 def read_headers(headers: h11.Request | h11.Response) -> RawHeaders:
@@ -60,9 +52,7 @@
 
     Headers must come from a received head or hold no line ends.
     """
-    connection.send(_frame_request(method, len(body) if framed else None))
-    if body:
-        connection.send(h11.Data(data=body))
+    connection.send(_frame_request(method))
     connection.send(_END)
     if framed:
         headers = [*headers, (b"content-length", b"%d" % len(body))]
@@ -82,9 +72,7 @@
 
     Headers must come from a received head or hold no line ends.
     """
-    connection.send(_frame_response(status, length, close))
-    if body:
-        connection.send(h11.Data(data=body))
+    connection.send(_LAST_RESPONSE if close else _RESPONSE)
     connection.send(_END)
     if length is not None:
         headers = [*headers, (b"content-length", length)]
