--- a/src/hawthornmast/forwarding/__init__.py
+++ b/src/hawthornmast/forwarding/__init__.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 on both sides: clients, upstreams, tickets and outcomes."""
 
-from hawthornmast.forwarding.connection import ClientLimits
+from hawthornmast.forwarding.inputs import ClientLimits
 from hawthornmast.forwarding.runtime import RequestReport
 from hawthornmast.forwarding.runtime import ServiceDirectory
 from hawthornmast.forwarding.runtime import ServiceRuntime
--- a/src/hawthornmast/forwarding/connection.py
+++ b/src/hawthornmast/forwarding/connection.py
@@ -3,7 +3,6 @@
 import math
 from typing import Protocol
 
-import attrs
 import h11
 import trio
 
@@ -12,13 +11,15 @@
 from hawthornmast.forwarding.forwarder import Deliver
 from hawthornmast.forwarding.forwarder import Forwarder
 from hawthornmast.forwarding.headers import RawHeaders
-from hawthornmast.forwarding.matching import normalize_path
+from hawthornmast.forwarding.inputs import BadInputError
+from hawthornmast.forwarding.inputs import check_lines
+from hawthornmast.forwarding.inputs import ClientLimits
+from hawthornmast.forwarding.inputs import parse_head
 from hawthornmast.forwarding.messages import Answer
 from hawthornmast.forwarding.messages import ClientRequest
 from hawthornmast.forwarding.messages import refuse
 from hawthornmast.forwarding.messages import Trace
 from hawthornmast.forwarding.upstream import Exchange
-from hawthornmast.forwarding.writing import read_headers
 from hawthornmast.forwarding.writing import write_response
 
 _READ_BYTES = 16_384
@@ -27,33 +28,6 @@
 _LINGER_BYTES = 1_048_576
 
 
-@attrs.frozen(kw_only=True)
-class ClientLimits:
-    """Limits on what clients may send.
-
-    Parameters
-    ----------
-    connections
-        Connections at once.
-    header_bytes, header_count
-        Size of a request's head.
-    body_bytes
-        Size of a request's body, which is held in memory.
-    idle_s, header_s, body_s, write_s
-        Seconds to begin a request, to complete its head, to complete its
-        body, and to take an answer.
-    """
-
-    connections: int = 2000
-    header_bytes: int = 16_384
-    header_count: int = 100
-    body_bytes: int = 1_048_576
-    idle_s: float = 60.0
-    header_s: float = 5.0
-    body_s: float = 10.0
-    write_s: float = 10.0
-
-
 class Host(Protocol):
     """What a connection needs of its server."""
 
@@ -83,15 +57,6 @@
         """Stop watching a connection."""
 
 
-class BadInputError(Exception):
-    """Input that is refused; ``kind`` names it in the counters."""
-
-    def __init__(self, status: int, kind: str, detail: str = "") -> None:
-        super().__init__(detail)
-        self.status = status
-        self.kind = kind
-
-
 class ClientConnection:
     """Serves the requests of one connection, one after the other."""
 
@@ -140,7 +105,8 @@
             if head is None:
                 return False
             self._step = "body"
-            request = self._parse(head)
+            request = parse_head(head, self._limits, self._client)
+            self._identify(request)
             # Without a body the same checks are made when it runs.
             refused = self._check_early(request) if request.framed else None
             if refused is None:
@@ -162,7 +128,7 @@
     async def _read_head(self) -> h11.Request | None:
         connection = self._connection
         while True:
-            self._check_lines(connection.trailing_data[0])
+            check_lines(connection.trailing_data[0], self._limits)
             event = connection.next_event()
             if event is h11.NEED_DATA:
                 data = await self.sock.recv(_READ_BYTES)
@@ -176,78 +142,17 @@
             else:
                 return None
 
-    def _check_lines(self, raw: bytes) -> None:
-        """Refuse folded headers and bare line feeds, which h11 accepts.
-
-        Servers disagree about both, which allows requests to be smuggled.
-        """
-        end = raw.find(b"\r\n\r\n")
-        if end < 0:
-            end = len(raw)
-        if end > self._limits.header_bytes:
-            raise BadInputError(431, "header-too-long")
-        if raw.find(b"\n ", 0, end) >= 0 or raw.find(b"\n\t", 0, end) >= 0:
-            raise BadInputError(400, "folded-header")
-        if raw.count(b"\n", 0, end) != raw.count(b"\r\n", 0, end):
-            raise BadInputError(400, "bare-line-feed")
-
-    def _parse(self, head: h11.Request) -> ClientRequest:
-        method = head.method.decode("ascii")
-        target = head.target.decode("ascii")
-        headers = read_headers(head)
-        if len(headers) > self._limits.header_count:
-            raise BadInputError(431, "too-many-headers")
-        found = dict(headers)
-        if len(found) < len(headers):
-            _check_repeated(headers)
-        length = found.get(b"content-length")
-        coding = found.get(b"transfer-encoding")
-        if coding is not None:
-            if length is not None:
-                raise BadInputError(400, "two-body-lengths")
-            if head.http_version < b"1.1":
-                raise BadInputError(400, "chunked-in-1.0")
-        if method == "CONNECT":
-            raise BadInputError(501, "connect")
-        if b"upgrade" in found:
-            raise BadInputError(501, "upgrade")
-        if length is not None and int(length) > self._limits.body_bytes:
-            raise BadInputError(413, "body-too-long")
-        authority = found.get(b"host", b"").decode("latin-1")
-        if target[:7].lower() == "http://":
-            authority, slash, rest = target[7:].partition("/")
-            target = slash + rest if slash else "/"
-        service = authority.partition(":")[0].lower()
-        if not service:
-            raise BadInputError(400, "no-host")
-        path = normalize_path(target)
-        if path.is_err():
-            raise BadInputError(400, "bad-target", path.unwrap_err())
-        request = ClientRequest(
-            request_id="",
-            method=method,
-            target=target,
-            path=path.unwrap(),
-            service=service,
-            headers=headers,
-            framed=length is not None or coding is not None,
-            old=head.http_version < b"1.1",
-            timeout_s=_parse_timeout(found),
-            ticket=_parse_ticket(found),
-            client=self._client,
-            arrived=trio.current_time(),
-        )
-        relayed = found.get(relay.HEADER)
-        if relayed is not None:
-            if self._host.mark.check(relayed, method, target):
+    def _identify(self, request: ClientRequest) -> None:
+        """Give the request its identifier, that of its relay if it has one."""
+        host = self._host
+        if request.mark is not None:
+            if host.mark.check(request.mark, request.method, request.target):
                 request.relayed = True
-                request.request_id = relayed.partition(b".")[0].decode()
-            else:
-                # An ordinary client sent it; the header is dropped.
-                self._host.count_bad_input("forged-relay")
-        if not request.request_id:
-            request.request_id = self._host.new_request_id()
-        return request
+                request.request_id = request.mark.partition(b".")[0].decode()
+                return
+            # An ordinary client sent it; the header is dropped.
+            host.count_bad_input("forged-relay")
+        request.request_id = host.new_request_id()
 
     def _check_early(self, request: ClientRequest) -> Answer | None:
         if request.target.startswith(pages.ROOT):
@@ -437,46 +342,3 @@
                     taken += len(data)
             except OSError:
                 return
-
-
-_SINGLE = frozenset(
-    {
-        b"content-length",
-        b"transfer-encoding",
-        b"host",
-        b"upgrade",
-        b"hawthornmast-ticket",
-        b"hawthornmast-timeout-ms",
-        relay.HEADER,
-    }
-)
-
-
-def _check_repeated(headers: RawHeaders) -> None:
-    """Refuse headers that must not be repeated."""
-    seen = set()
-    for name, _ in headers:
-        if name in _SINGLE:
-            if name in seen:
-                raise BadInputError(400, "repeated-header", name.decode())
-            seen.add(name)
-
-
-def _parse_timeout(found: dict[bytes, bytes]) -> float | None:
-    value = found.get(b"hawthornmast-timeout-ms")
-    if value is None:
-        return None
-    if not value.isdigit() or len(value) > 7 or int(value) == 0:
-        raise BadInputError(
-            400, "bad-timeout", "allowed are 1 to 9999999 milliseconds"
-        )
-    return int(value) / 1000
-
-
-def _parse_ticket(found: dict[bytes, bytes]) -> str | None:
-    value = found.get(b"hawthornmast-ticket")
-    if value is None:
-        return None
-    if len(value) > 256 or not value.isascii():
-        raise BadInputError(400, "bad-ticket")
-    return value.decode("ascii")
--- a/src/hawthornmast/forwarding/forwarder.py
+++ b/src/hawthornmast/forwarding/forwarder.py
@@ -17,6 +17,12 @@
 from hawthornmast.forwarding import relay
 from hawthornmast.forwarding.headers import filter_headers
 from hawthornmast.forwarding.headers import RawHeaders
+from hawthornmast.forwarding.judgement import is_own
+from hawthornmast.forwarding.judgement import is_shed
+from hawthornmast.forwarding.judgement import judge_cancelled
+from hawthornmast.forwarding.judgement import judge_error
+from hawthornmast.forwarding.judgement import judge_status
+from hawthornmast.forwarding.judgement import was_hurried
 from hawthornmast.forwarding.matching import find_entry
 from hawthornmast.forwarding.messages import Answer
 from hawthornmast.forwarding.messages import ClientRequest
@@ -40,9 +46,6 @@
 OLD_BUFFER_BYTES = 1_048_576
 MAX_ATTEMPTS = 4
 RELAY_S = 5.0
-# A timeout counts as a failure of the upstream only after it had the request
-# for this part of the entry's deadline; clients may ask for short timeouts.
-_FAIR_PART = 0.5
 
 Deliver = Callable[[Answer, Exchange], Awaitable[bool]]
 
@@ -297,7 +300,7 @@
                 buffer_bytes=OLD_BUFFER_BYTES if request.old else BUFFER_BYTES,
             )
             if isinstance(sent, Err):
-                evidence = _judge_error(sent.err_value, progress)
+                evidence = judge_error(sent.err_value, progress)
                 return self._after_error(
                     sent.err_value,
                     upstream,
@@ -310,13 +313,13 @@
             try:
                 if exchange.header(b"upstream-state") == b"leaving":
                     runtime.note_leaving(upstream.upstream_id)
-                if not _is_own(exchange, request):
+                if not is_own(exchange, request):
                     evidence = Evidence.FAILED
                     error = StepError(step="read", detail="crossed response")
                     return self._after_error(
                         error, upstream, progress, runtime, entry, attempts
                     )
-                if exchange.complete and _is_shed(exchange, runtime):
+                if exchange.complete and is_shed(exchange, runtime.service):
                     evidence = Evidence.SHED
                     return self._after_shed(upstream, runtime, entry, attempts)
                 answer = _to_answer(request, exchange)
@@ -327,9 +330,9 @@
                     answer.cut = not await deliver(answer, exchange)
                     if answer.cut:
                         answer.outcome = Outcome.UNKNOWN
-                evidence = _judge_status(exchange.status)
-                if exchange.status == 504 and self._was_hurried(
-                    entry, progress, attempts.deadline
+                evidence = judge_status(exchange.status)
+                if exchange.status == 504 and was_hurried(
+                    entry, progress, attempts.deadline, self._clock()
                 ):
                     evidence = Evidence.NEUTRAL
                 if answer.cut and not trace.left:
@@ -340,33 +343,12 @@
                 runtime.count_attempt(entry)
             return answer
         except trio.Cancelled:
-            evidence = self._judge_cancelled(trace, entry, progress)
+            evidence = judge_cancelled(trace, entry, progress, self._clock())
             raise
         finally:
             runtime.finish(attempt, evidence)
             admission.release()
 
-    def _judge_cancelled(
-        self, trace: Trace, entry: Entry, progress: Progress
-    ) -> Evidence:
-        if trace.left or trace.streaming or not progress.started:
-            return Evidence.NEUTRAL
-        spent = self._clock() - progress.started_at
-        if spent >= _FAIR_PART * entry.deadline_ms / 1000:
-            return Evidence.FAILED
-        return Evidence.NEUTRAL
-
-    def _was_hurried(
-        self, entry: Entry, progress: Progress, deadline: float
-    ) -> bool:
-        """Return whether a 504 is due to the client's short timeout."""
-        allowed_s = deadline - progress.started_at
-        spent = self._clock() - progress.started_at
-        return (
-            allowed_s < _FAIR_PART * entry.deadline_ms / 1000
-            and spent >= 0.8 * allowed_s
-        )
-
     def _after_error(
         self,
         error: StepError,
@@ -464,7 +446,7 @@
     request: ClientRequest, exchange: Exchange, deliver: Deliver
 ) -> Answer:
     try:
-        if not _is_own(exchange, request):
+        if not is_own(exchange, request):
             return refuse(502, "relay-failed", outcome=Outcome.UNKNOWN)
         answer = _to_answer(request, exchange, relayed=True)
         if not exchange.complete:
@@ -533,34 +515,6 @@
     )
 
 
-def _is_own(exchange: Exchange, request: ClientRequest) -> bool:
-    """Return False when the response names another request."""
-    named = exchange.header(b"hawthornmast-request-id")
-    return named is None or named == request.request_id.encode()
-
-
-def _is_shed(exchange: Exchange, runtime: ServiceRuntime) -> bool:
-    certificate = runtime.service.not_run_header
-    if certificate is None or exchange.status != 503:
-        return False
-    name, value = certificate
-    return exchange.header(name.lower().encode()) == value.encode()
-
-
-def _judge_error(error: StepError, progress: Progress) -> Evidence:
-    if error.step == "deadline" or error.detail.startswith("all "):
-        return Evidence.NEUTRAL
-    if progress.reused and not progress.answered:
-        return Evidence.NEUTRAL
-    return Evidence.FAILED
-
-
-def _judge_status(status: int) -> Evidence:
-    if status >= 500:
-        return Evidence.FAILED
-    return Evidence.NEUTRAL if status >= 400 else Evidence.OK
-
-
 def _to_answer(
     request: ClientRequest, exchange: Exchange, *, relayed: bool = False
 ) -> Answer:
--- /dev/null
+++ b/src/hawthornmast/forwarding/inputs.py
@@ -0,0 +1,158 @@
+"""Reading of a request's head, with all that is refused in it."""
+
+import attrs
+import h11
+import trio
+
+from hawthornmast.forwarding import relay
+from hawthornmast.forwarding.headers import RawHeaders
+from hawthornmast.forwarding.matching import normalize_path
+from hawthornmast.forwarding.messages import ClientRequest
+from hawthornmast.forwarding.writing import read_headers
+
+
+@attrs.frozen(kw_only=True)
+class ClientLimits:
+    """Limits on what clients may send.
+
+    Parameters
+    ----------
+    connections
+        Connections at once.
+    header_bytes, header_count
+        Size of a request's head.
+    body_bytes
+        Size of a request's body, which is held in memory.
+    idle_s, header_s, body_s, write_s
+        Seconds to begin a request, to complete its head, to complete its
+        body, and to take an answer.
+    """
+
+    connections: int = 2000
+    header_bytes: int = 16_384
+    header_count: int = 100
+    body_bytes: int = 1_048_576
+    idle_s: float = 60.0
+    header_s: float = 5.0
+    body_s: float = 10.0
+    write_s: float = 10.0
+
+
+class BadInputError(Exception):
+    """Input that is refused; ``kind`` names it in the counters."""
+
+    def __init__(self, status: int, kind: str, detail: str = "") -> None:
+        super().__init__(detail)
+        self.status = status
+        self.kind = kind
+
+
+_SINGLE = frozenset(
+    {
+        b"content-length",
+        b"transfer-encoding",
+        b"host",
+        b"upgrade",
+        b"hawthornmast-ticket",
+        b"hawthornmast-timeout-ms",
+        relay.HEADER,
+    }
+)
+
+
+def _check_repeated(headers: RawHeaders) -> None:
+    """Refuse headers that must not be repeated."""
+    seen = set()
+    for name, _ in headers:
+        if name in _SINGLE:
+            if name in seen:
+                raise BadInputError(400, "repeated-header", name.decode())
+            seen.add(name)
+
+
+def _parse_timeout(found: dict[bytes, bytes]) -> float | None:
+    value = found.get(b"hawthornmast-timeout-ms")
+    if value is None:
+        return None
+    if not value.isdigit() or len(value) > 7 or int(value) == 0:
+        raise BadInputError(
+            400, "bad-timeout", "allowed are 1 to 9999999 milliseconds"
+        )
+    return int(value) / 1000
+
+
+def _parse_ticket(found: dict[bytes, bytes]) -> str | None:
+    value = found.get(b"hawthornmast-ticket")
+    if value is None:
+        return None
+    if len(value) > 256 or not value.isascii():
+        raise BadInputError(400, "bad-ticket")
+    return value.decode("ascii")
+
+
+def check_lines(raw: bytes, limits: ClientLimits) -> None:
+    """Refuse folded headers and bare line feeds, which h11 accepts.
+
+    Servers disagree about both, which allows requests to be smuggled.
+    """
+    end = raw.find(b"\r\n\r\n")
+    if end < 0:
+        end = len(raw)
+    if end > limits.header_bytes:
+        raise BadInputError(431, "header-too-long")
+    if raw.find(b"\n ", 0, end) >= 0 or raw.find(b"\n\t", 0, end) >= 0:
+        raise BadInputError(400, "folded-header")
+    if raw.count(b"\n", 0, end) != raw.count(b"\r\n", 0, end):
+        raise BadInputError(400, "bare-line-feed")
+
+
+def parse_head(
+    head: h11.Request, limits: ClientLimits, client: str
+) -> ClientRequest:
+    """Return a request without its body and its identifier."""
+    method = head.method.decode("ascii")
+    target = head.target.decode("ascii")
+    headers = read_headers(head)
+    if len(headers) > limits.header_count:
+        raise BadInputError(431, "too-many-headers")
+    found = dict(headers)
+    if len(found) < len(headers):
+        _check_repeated(headers)
+    length = found.get(b"content-length")
+    coding = found.get(b"transfer-encoding")
+    if coding is not None:
+        if length is not None:
+            raise BadInputError(400, "two-body-lengths")
+        if head.http_version < b"1.1":
+            raise BadInputError(400, "chunked-in-1.0")
+    if method == "CONNECT":
+        raise BadInputError(501, "connect")
+    if b"upgrade" in found:
+        raise BadInputError(501, "upgrade")
+    if length is not None and int(length) > limits.body_bytes:
+        raise BadInputError(413, "body-too-long")
+    authority = found.get(b"host", b"").decode("latin-1")
+    if target[:7].lower() == "http://":
+        authority, slash, rest = target[7:].partition("/")
+        target = slash + rest if slash else "/"
+    service = authority.partition(":")[0].lower()
+    if not service:
+        raise BadInputError(400, "no-host")
+    path = normalize_path(target)
+    if path.is_err():
+        raise BadInputError(400, "bad-target", path.unwrap_err())
+    return ClientRequest(
+        request_id="",
+        method=method,
+        target=target,
+        path=path.unwrap(),
+        service=service,
+        headers=headers,
+        framed=length is not None or coding is not None,
+        old=head.http_version < b"1.1",
+        timeout_s=_parse_timeout(found),
+        ticket=_parse_ticket(found),
+        client=client,
+        arrived=trio.current_time(),
+        mark=found.get(relay.HEADER),
+    )
--- /dev/null
+++ b/src/hawthornmast/forwarding/judgement.py
@@ -0,0 +1,69 @@
+"""What an attempt shows about its upstream."""
+
+from hawthornmast.catalogue import Entry
+from hawthornmast.catalogue import Service
+from hawthornmast.common import StepError
+from hawthornmast.forwarding.messages import ClientRequest
+from hawthornmast.forwarding.messages import Trace
+from hawthornmast.forwarding.upstream import Exchange
+from hawthornmast.forwarding.upstream import Progress
+from hawthornmast.health import Evidence
+
+# A timeout counts as a failure of the upstream only after it had the request
+# for this part of the entry's deadline; clients may ask for short timeouts.
+_FAIR_PART = 0.5
+
+
+def is_own(exchange: Exchange, request: ClientRequest) -> bool:
+    """Return False when the response names another request."""
+    named = exchange.header(b"hawthornmast-request-id")
+    return named is None or named == request.request_id.encode()
+
+
+def is_shed(exchange: Exchange, service: Service) -> bool:
+    """Return whether a response certifies that the request was not run."""
+    certificate = service.not_run_header
+    if certificate is None or exchange.status != 503:
+        return False
+    name, value = certificate
+    return exchange.header(name.lower().encode()) == value.encode()
+
+
+def judge_error(error: StepError, progress: Progress) -> Evidence:
+    """Return the evidence of a failed exchange."""
+    if error.step == "deadline" or error.detail.startswith("all "):
+        return Evidence.NEUTRAL
+    if progress.reused and not progress.answered:
+        return Evidence.NEUTRAL
+    return Evidence.FAILED
+
+
+def judge_status(status: int) -> Evidence:
+    """Return the evidence of a complete response that is no shed."""
+    if status >= 500:
+        return Evidence.FAILED
+    return Evidence.NEUTRAL if status >= 400 else Evidence.OK
+
+
+def judge_cancelled(
+    trace: Trace, entry: Entry, progress: Progress, now: float
+) -> Evidence:
+    """Return the evidence of an exchange that was cancelled."""
+    if trace.left or trace.streaming or not progress.started:
+        return Evidence.NEUTRAL
+    spent = now - progress.started_at
+    if spent >= _FAIR_PART * entry.deadline_ms / 1000:
+        return Evidence.FAILED
+    return Evidence.NEUTRAL
+
+
+def was_hurried(
+    entry: Entry, progress: Progress, deadline: float, now: float
+) -> bool:
+    """Return whether a 504 is due to the client's short timeout."""
+    allowed_s = deadline - progress.started_at
+    spent = now - progress.started_at
+    return (
+        allowed_s < _FAIR_PART * entry.deadline_ms / 1000
+        and spent >= 0.8 * allowed_s
+    )
--- a/src/hawthornmast/forwarding/messages.py
+++ b/src/hawthornmast/forwarding/messages.py
@@ -27,8 +27,10 @@
         The client speaks HTTP/1.0.
     timeout_s
         Value of ``Hawthornmast-Timeout-Ms`` in seconds.
+    mark
+        Value of ``Hawthornmast-Relayed``, not verified.
     relayed
-        Another daemon of the fleet relayed the request.
+        The mark proved that another daemon relayed the request.
     arrived
         Time at which the head was read.
     """
@@ -44,6 +46,7 @@
     old: bool = False
     timeout_s: float | None = None
     ticket: str | None = None
+    mark: bytes | None = None
     relayed: bool = False
     client: str = ""
     arrived: float = 0.0
--- a/src/hawthornmast/forwarding/server.py
+++ b/src/hawthornmast/forwarding/server.py
@@ -13,8 +13,8 @@
 from hawthornmast.forwarding import pages
 from hawthornmast.forwarding import relay
 from hawthornmast.forwarding.connection import ClientConnection
-from hawthornmast.forwarding.connection import ClientLimits
 from hawthornmast.forwarding.forwarder import Forwarder
+from hawthornmast.forwarding.inputs import ClientLimits
 from hawthornmast.forwarding.messages import Answer
 from hawthornmast.forwarding.messages import ClientRequest
 from hawthornmast.forwarding.messages import Trace
