Bound the bodies held at once and report earlier attempts as unknown

A request that failed after its first byte and then waited for a slot until its deadline was reported as not run. Bodies of all connections together could grow to the number of connections times the body limit.

--- a/src/hawthornmast/forwarding/connection.py
+++ b/src/hawthornmast/forwarding/connection.py
@@ -35,6 +35,7 @@
     forwarder: Forwarder
     mark: relay.RelayMark
     closing: bool
+    body_bytes: int
 
     def new_request_id(self) -> str:
         """Return an identifier that is unique in the fleet."""
@@ -70,6 +71,7 @@
         self.reading = trio.CancelScope()
         self.limit = math.inf
         self._step = ""
+        self._held = 0
         self.running = trio.CancelScope()
         self.trace = Trace()
         self._host = host
@@ -84,6 +86,7 @@
         try:
             with self.reading:
                 while await self._serve_one():
+                    self._hold(-self._held)
                     self._connection.start_next_cycle()
             if self.reading.cancelled_caught and not self.idle and self._step:
                 bad = BadInputError(408, f"slow-{self._step}")
@@ -92,6 +95,7 @@
         except (OSError, trio.ClosedResourceError):
             pass
         finally:
+            self._hold(-self._held)
             self.sock.close()
 
     async def _serve_one(self) -> bool:
@@ -159,6 +163,11 @@
             return None
         return self._host.forwarder.check(request)
 
+    def _hold(self, count: int) -> None:
+        """Count the bytes of bodies that are held in memory."""
+        self._held += count
+        self._host.body_bytes += count
+
     async def _read_body(self, request: ClientRequest) -> None:
         connection = self._connection
         self.limit = request.arrived + self._limits.body_s
@@ -174,8 +183,11 @@
                 connection.receive_data(data)
             elif type(event) is h11.Data:
                 body += event.data
+                self._hold(len(event.data))
                 if len(body) > self._limits.body_bytes:
                     raise BadInputError(413, "body-too-long")
+                if self._host.body_bytes > self._limits.total_body_bytes:
+                    raise BadInputError(503, "bodies-too-long")
             elif type(event) is h11.EndOfMessage:
                 break
             else:
--- a/src/hawthornmast/forwarding/forwarder.py
+++ b/src/hawthornmast/forwarding/forwarder.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-import hashlib
-import random
 
 import attrs
 from result import Err
@@ -34,10 +32,14 @@
 from hawthornmast.forwarding.tickets import Rejected
 from hawthornmast.forwarding.tickets import TicketBook
 from hawthornmast.forwarding.tickets import TicketRecord
+from hawthornmast.forwarding.translation import build_answer
+from hawthornmast.forwarding.translation import build_request
+from hawthornmast.forwarding.translation import digest_request
+from hawthornmast.forwarding.translation import refuse_busy
+from hawthornmast.forwarding.translation import wrong_instance
 from hawthornmast.forwarding.upstream import Exchange
 from hawthornmast.forwarding.upstream import Progress
 from hawthornmast.forwarding.upstream import UpstreamClient
-from hawthornmast.forwarding.upstream import UpstreamRequest
 from hawthornmast.health import Evidence
 
 BUFFER_BYTES = 65_536
@@ -152,7 +154,7 @@
         if request.ticket is None:
             return await self._run(request, trace, scope, deliver)
         used = self._tickets.redeem(
-            request.ticket, request.service, _digest(request)
+            request.ticket, request.service, digest_request(request)
         )
         if isinstance(used, Rejected):
             return self._reject(used, request.service)
@@ -256,9 +258,13 @@
         if answer is not None:
             return answer
         reason = "client-left" if trace.left else "deadline"
-        if progress.started:
+        # An earlier attempt may have run as well.
+        last = attempts.last
+        if progress.started or (
+            last is not None and last.outcome is Outcome.UNKNOWN
+        ):
             return refuse(504, reason, outcome=Outcome.UNKNOWN)
-        return _busy(reason)
+        return refuse_busy(reason)
 
     async def _attempt(
         self,
@@ -279,7 +285,7 @@
             if attempts.last is not None:
                 return attempts.last
             refusal = admitted.err_value
-            return _busy(
+            return refuse_busy(
                 refusal.reason.value, refusal.retry_after, refusal.limit
             )
         admission = admitted.ok_value
@@ -293,7 +299,7 @@
             left_s = attempts.deadline - self._clock()
             sent = await self._upstreams.send(
                 upstream,
-                _build(request, headers, left_s),
+                build_request(request, headers, left_s),
                 progress,
                 deadline=attempts.deadline,
                 fresh=not entry.idempotent,
@@ -322,7 +328,7 @@
                 if exchange.complete and is_shed(exchange, runtime.service):
                     evidence = Evidence.SHED
                     return self._after_shed(upstream, runtime, entry, attempts)
-                answer = _to_answer(request, exchange)
+                answer = build_answer(request, exchange)
                 if not exchange.complete:
                     if request.old:
                         return refuse(502, "too-long", outcome=Outcome.UNKNOWN)
@@ -360,13 +366,13 @@
     ) -> Answer | None:
         """Decide after a failed exchange; None means another attempt."""
         if error.step == "deadline":
-            return attempts.last or _busy("deadline")
+            return attempts.last or refuse_busy("deadline")
         # A closed kept connection says nothing against its upstream.
         if not progress.reused:
             attempts.exclude.add(upstream.upstream_id)
         more = attempts.count < MAX_ATTEMPTS
         if not progress.started:
-            attempts.last = attempts.last or _busy("no-upstream")
+            attempts.last = attempts.last or refuse_busy("no-upstream")
             return None if more else attempts.last
         answer = refuse(
             502,
@@ -387,7 +393,7 @@
         attempts: _Attempts,
     ) -> Answer | None:
         attempts.exclude.add(upstream.upstream_id)
-        attempts.last = attempts.last or _busy("shed")
+        attempts.last = attempts.last or refuse_busy("shed")
         if attempts.count < MAX_ATTEMPTS and runtime.allow_retry(entry):
             return None
         return attempts.last
@@ -406,7 +412,7 @@
         """
         owners = self._directory.owners(request.service) or []
         if not owners:
-            return _busy("no-owner")
+            return refuse_busy("no-owner")
         headers = filter_headers(request.headers)
         mark = self._mark.sign(
             request.request_id, request.method, request.target
@@ -423,7 +429,9 @@
                 progress = Progress()
                 sent = await self._upstreams.send(
                     _as_upstream(owner),
-                    _build(request, headers, scope.deadline - self._clock()),
+                    build_request(
+                        request, headers, scope.deadline - self._clock()
+                    ),
                     progress,
                     deadline=scope.deadline,
                     fresh=False,
@@ -439,7 +447,7 @@
                     break
         if progress.started:
             return refuse(502, "relay-failed", outcome=Outcome.UNKNOWN)
-        return _busy("no-owner")
+        return refuse_busy("no-owner")
 
 
 async def _deliver_relayed(
@@ -448,7 +456,7 @@
     try:
         if not is_own(exchange, request):
             return refuse(502, "relay-failed", outcome=Outcome.UNKNOWN)
-        answer = _to_answer(request, exchange, relayed=True)
+        answer = build_answer(request, exchange, relayed=True)
         if not exchange.complete:
             if request.old:
                 return refuse(502, "too-long", outcome=Outcome.UNKNOWN)
@@ -467,73 +475,3 @@
         port=owner.port,
         slots=1,
     )
-
-
-def _busy(
-    reason: str, retry_after: float | None = None, detail: str = ""
-) -> Answer:
-    if retry_after is None:
-        retry_after = 0.5 + random.random()
-    return refuse(503, reason, retry_after=retry_after, detail=detail)
-
-
-def wrong_instance(owners: list[Instance]) -> Answer:
-    """Return the answer that names the owners of a service."""
-    value = ", ".join(owner.address for owner in owners).encode()
-    return refuse(
-        421, "wrong-instance", headers=[(b"hawthornmast-owners", value)]
-    )
-
-
-def _digest(request: ClientRequest) -> bytes:
-    digest = hashlib.blake2b(digest_size=16)
-    for part in (
-        request.method.encode(),
-        request.target.encode(),
-        request.body,
-    ):
-        digest.update(b"%d:" % len(part))
-        digest.update(part)
-    return digest.digest()
-
-
-def _build(
-    request: ClientRequest, headers: RawHeaders, left_s: float
-) -> UpstreamRequest:
-    left_ms = max(1, int(left_s * 1000))
-    return UpstreamRequest(
-        method=request.method.encode(),
-        target=request.target.encode(),
-        headers=[
-            (b"host", request.service.encode()),
-            *headers,
-            (b"hawthornmast-request-id", request.request_id.encode()),
-            (b"hawthornmast-timeout-ms", b"%d" % left_ms),
-        ],
-        body=request.body,
-        framed=request.framed,
-    )
-
-
-def _to_answer(
-    request: ClientRequest, exchange: Exchange, *, relayed: bool = False
-) -> Answer:
-    headers = filter_headers(exchange.headers, relayed=relayed)
-    outcome = Outcome.COMPLETE
-    reason = ""
-    if relayed:
-        text = exchange.header(b"hawthornmast-outcome") or b"unknown"
-        try:
-            outcome = Outcome(text.decode("latin-1"))
-        except ValueError:
-            outcome = Outcome.UNKNOWN
-        value = exchange.header(b"hawthornmast-reason") or b""
-        reason = value.decode("latin-1")
-    return Answer(
-        status=exchange.status,
-        outcome=outcome,
-        reason=reason,
-        headers=headers,
-        body=bytes(exchange.body),
-        length=exchange.header(b"content-length"),
-    )
--- a/src/hawthornmast/forwarding/inputs.py
+++ b/src/hawthornmast/forwarding/inputs.py
@@ -23,6 +23,8 @@
         Size of a request's head.
     body_bytes
         Size of a request's body, which is held in memory.
+    total_body_bytes
+        Size of all bodies held at once.
     idle_s, header_s, body_s, write_s
         Seconds to begin a request, to complete its head, to complete its
         body, and to take an answer.
@@ -32,6 +34,7 @@
     header_bytes: int = 16_384
     header_count: int = 100
     body_bytes: int = 1_048_576
+    total_body_bytes: int = 33_554_432
     idle_s: float = 60.0
     header_s: float = 5.0
     body_s: float = 10.0
--- a/src/hawthornmast/forwarding/pages.py
+++ b/src/hawthornmast/forwarding/pages.py
@@ -5,11 +5,11 @@
 import urllib.parse
 
 from hawthornmast.common import Outcome
-from hawthornmast.forwarding.forwarder import wrong_instance
 from hawthornmast.forwarding.messages import Answer
 from hawthornmast.forwarding.messages import refuse
 from hawthornmast.forwarding.runtime import ServiceDirectory
 from hawthornmast.forwarding.tickets import TicketBook
+from hawthornmast.forwarding.translation import wrong_instance
 
 ROOT = "/.well-known/hawthornmast/"
 ADDRESS_TTL_S = 5
--- a/src/hawthornmast/forwarding/server.py
+++ b/src/hawthornmast/forwarding/server.py
@@ -94,6 +94,7 @@
             directory, upstreams, tickets, mark=self.mark
         )
         self.closing = False
+        self.body_bytes = 0
         self._directory = directory
         self._tickets = tickets
         self._upstreams = upstreams
--- a/src/hawthornmast/forwarding/tests/support.py
+++ b/src/hawthornmast/forwarding/tests/support.py
@@ -213,6 +213,7 @@
         with trio.fail_after(5):
             while fleet.runtime.held or fleet.server.connections:
                 await trio.sleep(0.01)
+        assert fleet.server.body_bytes == 0
         await fleet.server.close()
         assert fleet.upstreams.open_connections() == 0
         nursery.cancel_scope.cancel()
--- a/src/hawthornmast/forwarding/tests/test_connection.py
+++ b/src/hawthornmast/forwarding/tests/test_connection.py
@@ -6,6 +6,7 @@
 import trio
 
 from hawthornmast.forwarding import ClientLimits
+from hawthornmast.forwarding.tests.support import outcome
 from hawthornmast.forwarding.tests.support import run_fleet
 
 _POST = b"POST /read HTTP/1.1\r\nHost: billing\r\n"
@@ -113,6 +114,17 @@
             assert (await fleet.call()).status == 200
             await stream.aclose()
 
+    async def test_bodies_together_are_bounded(self):
+        limits = ClientLimits(total_body_bytes=1000, body_s=1)
+        async with run_fleet(limits=limits) as fleet:
+            stream = await trio.open_tcp_stream("127.0.0.1", fleet.port)
+            half = _POST + b"Content-Length: 900\r\n\r\n" + b"a" * 800
+            await stream.send_all(half)
+            await trio.sleep(0.05)
+            answer = await fleet.call("POST", body=b"b" * 300)
+            assert outcome(answer) == (503, "not-run", "bodies-too-long")
+            await stream.aclose()
+
     async def test_connections_beyond_the_limit_are_refused(self):
         async with run_fleet(limits=ClientLimits(connections=1)) as fleet:
             stream = await trio.open_tcp_stream("127.0.0.1", fleet.port)
--- a/src/hawthornmast/forwarding/tests/test_faults.py
+++ b/src/hawthornmast/forwarding/tests/test_faults.py
@@ -129,6 +129,23 @@
             assert fleet.runs() == 0
             assert fleet.reports[0].outcome == "not-run"
 
+    async def test_timeout_after_a_failed_attempt_is_unknown(self):
+        # Guards against "not run" for a request whose first attempt ran and
+        # whose retry waited for a slot until the deadline.
+        async with run_fleet(1) as fleet:
+            fleet.set_faults(cut="none")
+            begin = fleet.runtime.begin
+
+            def hold(upstream_id, entry_name):
+                fleet.runtime.gate = trio.Event()
+                return begin(upstream_id, entry_name)
+
+            fleet.runtime.begin = hold
+            headers = (("Hawthornmast-Timeout-Ms", "200"),)
+            answer = await fleet.call(headers=headers)
+            assert outcome(answer) == (504, "unknown", "deadline")
+            assert fleet.runs("k") == 1
+
     async def test_leaving_upstream_is_noted(self):
         async with run_fleet(1) as fleet:
             fleet.set_faults(leaving=True)
--- /dev/null
+++ b/src/hawthornmast/forwarding/translation.py
@@ -0,0 +1,88 @@
+"""Requests and answers on their way between clients and upstreams."""
+
+import hashlib
+import random
+
+from hawthornmast.common import Instance
+from hawthornmast.common import Outcome
+from hawthornmast.forwarding.headers import filter_headers
+from hawthornmast.forwarding.headers import RawHeaders
+from hawthornmast.forwarding.messages import Answer
+from hawthornmast.forwarding.messages import ClientRequest
+from hawthornmast.forwarding.messages import refuse
+from hawthornmast.forwarding.upstream import Exchange
+from hawthornmast.forwarding.upstream import UpstreamRequest
+
+
+def refuse_busy(
+    reason: str, retry_after: float | None = None, detail: str = ""
+) -> Answer:
+    """Return a refusal after which the client may try again."""
+    if retry_after is None:
+        retry_after = 0.5 + random.random()
+    return refuse(503, reason, retry_after=retry_after, detail=detail)
+
+
+def wrong_instance(owners: list[Instance]) -> Answer:
+    """Return the answer that names the owners of a service."""
+    value = ", ".join(owner.address for owner in owners).encode()
+    return refuse(
+        421, "wrong-instance", headers=[(b"hawthornmast-owners", value)]
+    )
+
+
+def digest_request(request: ClientRequest) -> bytes:
+    """Return what identifies the unit of work of a ticket."""
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (
+        request.method.encode(),
+        request.target.encode(),
+        request.body,
+    ):
+        digest.update(b"%d:" % len(part))
+        digest.update(part)
+    return digest.digest()
+
+
+def build_request(
+    request: ClientRequest, headers: RawHeaders, left_s: float
+) -> UpstreamRequest:
+    """Return the request as the upstream gets it."""
+    left_ms = max(1, int(left_s * 1000))
+    return UpstreamRequest(
+        method=request.method.encode(),
+        target=request.target.encode(),
+        headers=[
+            (b"host", request.service.encode()),
+            *headers,
+            (b"hawthornmast-request-id", request.request_id.encode()),
+            (b"hawthornmast-timeout-ms", b"%d" % left_ms),
+        ],
+        body=request.body,
+        framed=request.framed,
+    )
+
+
+def build_answer(
+    request: ClientRequest, exchange: Exchange, *, relayed: bool = False
+) -> Answer:
+    """Return the answer as the client gets it."""
+    headers = filter_headers(exchange.headers, relayed=relayed)
+    outcome = Outcome.COMPLETE
+    reason = ""
+    if relayed:
+        text = exchange.header(b"hawthornmast-outcome") or b"unknown"
+        try:
+            outcome = Outcome(text.decode("latin-1"))
+        except ValueError:
+            outcome = Outcome.UNKNOWN
+        value = exchange.header(b"hawthornmast-reason") or b""
+        reason = value.decode("latin-1")
+    return Answer(
+        status=exchange.status,
+        outcome=outcome,
+        reason=reason,
+        headers=headers,
+        body=bytes(exchange.body),
+        length=exchange.header(b"content-length"),
+    )
