Level slot targets over all ranks and bound the work counted ahead

Targets were levelled rank by rank, so each change of a member's urgent demand moved slots that all members would spend on background work.

The wait estimate counted the whole queue of a background entry within its limit ahead of an urgent request beyond its own. It now counts it up to that limit.

--- a/src/hawthornmast/limits/dispatcher.py
+++ b/src/hawthornmast/limits/dispatcher.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import math
 import random as random_module
 
 import attrs
@@ -331,8 +332,15 @@
         own = queue.classify(self._slots)
         ahead = len(queue.waiting) + 1
         for other in self._queues.values():
-            if other is not queue and other.classify(self._slots) < own:
-                ahead += len(other.waiting)
+            theirs = other.classify(self._slots)
+            if other is queue or theirs >= own:
+                continue
+            count = len(other.waiting)
+            if theirs[1] >= own[1]:
+                # It goes ahead only until it reaches its limit.
+                limit = math.ceil(other.entry.share * self._slots)
+                count = min(count, limit - other.running)
+            ahead += count
         return ahead * self._service_time / self._slots
 
     def _dispatch(self) -> None:
--- a/src/hawthornmast/limits/planning.py
+++ b/src/hawthornmast/limits/planning.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from collections.abc import Sequence
+import heapq
 
 from hawthornmast.limits.division import Shares
 
@@ -16,21 +17,6 @@
 """
 
 
-def _fill(amount: int, wanted: dict[str, int]) -> dict[str, int]:
-    """Divide ``amount`` max-min fairly among integer demands."""
-    given = dict.fromkeys(wanted, 0)
-    open_to = [name for name in wanted if wanted[name] > 0]
-    while amount > 0 and open_to:
-        part = max(1, amount // len(open_to))
-        for name in list(open_to):
-            step = min(part, wanted[name] - given[name], amount)
-            given[name] += step
-            amount -= step
-            if given[name] >= wanted[name]:
-                open_to.remove(name)
-    return given
-
-
 def share_demand(
     total: int, demand: Mapping[str, Sequence[int]]
 ) -> dict[str, int]:
@@ -47,19 +33,36 @@
     ranks = max((len(item) for item in demand.values()), default=0)
     for rank in range(ranks):
         wanted = {
-            name: item[rank] if rank < len(item) else 0
+            name: item[rank]
             for name, item in demand.items()
+            if rank < len(item) and item[rank] > 0
         }
-        for name, count in _fill(total, wanted).items():
-            targets[name] += count
-            total -= count
-    while total > 0 and targets:
-        least = min(targets, key=lambda name: targets[name])
-        targets[least] += 1
-        total -= 1
+        total = _fill(total, targets, wanted)
+    if targets:
+        _fill(total, targets, dict.fromkeys(targets, total))
     return targets
 
 
+def _fill(total: int, targets: dict[str, int], wanted: dict[str, int]) -> int:
+    """Raise the lowest targets by what is wanted; return what remains.
+
+    Targets are levelled with those of higher ranks included. Levelling each
+    rank by itself moved slots with each change of the urgent demand.
+    """
+    heap = [(targets[name], name) for name in wanted]
+    heapq.heapify(heap)
+    while total > 0 and heap:
+        level, name = heap[0]
+        targets[name] = level + 1
+        wanted[name] -= 1
+        total -= 1
+        if wanted[name] > 0:
+            heapq.heapreplace(heap, (level + 1, name))
+        else:
+            heapq.heappop(heap)
+    return total
+
+
 def plan_grants(
     slots: Mapping[str, int],
     reserved: Mapping[str, int],
