Test seeded failure schedules and keep one retry for each key

Each announcement of a document that could not be fetched started another retry task, so that tasks and reads grew while a link was cut. One task for each key is kept now, and a repeated announcement keeps the growing pauses.

The schedules put, delete and refuse documents, cut links, restart daemons and make the platform stale or unavailable. No value is expected where an invalid one replaced it: the platform keeps the latest value only.

--- a/src/hawthornmast/configuration/fetcher.py
+++ b/src/hawthornmast/configuration/fetcher.py
@@ -77,6 +77,7 @@
         self._candidates: dict[str, dict[int, _Candidate]] = {}
         self._due: dict[str, None] = {}
         self._busy: set[str] = set()
+        self._retrying: set[str] = set()
         self._failures: dict[str, int] = {}
         self._sources: dict[str, str] = {}
         self._recent: dict[str, tuple[int, bytes]] = {}
@@ -102,6 +103,7 @@
             return
         found = self._candidates.setdefault(key, {})
         candidate = found.get(revision)
+        hopeful = candidate is None
         if candidate is None:
             candidate = found[revision] = _Candidate(revision, digest)
             if len(found) > CANDIDATES_PER_KEY:
@@ -109,11 +111,15 @@
         elif candidate.digest != digest:
             return
         if source is not None:
+            hopeful |= not candidate.accepted_elsewhere
             candidate.accepted_elsewhere = True
             if source and source not in candidate.sources:
                 candidate.sources.append(source)
-        self._failures.pop(key, None)
-        self._enqueue(key)
+                hopeful = True
+        if hopeful:
+            # Repeated announcements of what failed keep the growing pauses.
+            self._failures.pop(key, None)
+            self._enqueue(key)
 
     def _enqueue(self, key: str) -> None:
         if key in self._candidates:
@@ -151,7 +157,9 @@
                 self._busy.discard(key)
             if key in self._due:
                 self._wake.set()
-            elif key in self._candidates:
+            elif key in self._candidates and key not in self._retrying:
+                # One task for each key, however often it is announced.
+                self._retrying.add(key)
                 self._nursery.start_soon(self._retry_later, key)
 
     async def _retry_later(self, key: str) -> None:
@@ -159,6 +167,7 @@
         self._failures[key] = failures + 1
         pause = min(PAUSE_FIRST_S * 2 ** min(failures, 10), PAUSE_LAST_S)
         await trio.sleep(pause * self._random.uniform(0.5, 1.5))
+        self._retrying.discard(key)
         self._enqueue(key)
 
     async def resolve(self, key: str) -> None:
--- /dev/null
+++ b/src/hawthornmast/configuration/tests/test_convergence.py
@@ -0,0 +1,133 @@
+"""Seeded schedules of changes and failures: never back, then converged."""
+
+import random
+
+from hypothesis import given
+from hypothesis import seed
+from hypothesis import settings
+from hypothesis import strategies
+import trio
+import trio.testing
+
+from hawthornmast.configuration.tests import test_distributor
+from standins import fleet as simulation
+
+KEYS = [f"catalogue/services/s{number}" for number in range(3)]
+NAMES = [f"d{number}" for number in range(8)]
+STEPS = strategies.one_of(
+    strategies.tuples(strategies.just("put"), strategies.sampled_from(KEYS)),
+    strategies.tuples(
+        strategies.just("put-invalid"), strategies.sampled_from(KEYS)
+    ),
+    strategies.tuples(
+        strategies.just("delete"), strategies.sampled_from(KEYS)
+    ),
+    strategies.tuples(
+        strategies.just("cut"), strategies.sets(strategies.sampled_from(NAMES))
+    ),
+    strategies.tuples(strategies.just("heal"), strategies.none()),
+    strategies.tuples(
+        strategies.just("restart"), strategies.sampled_from(NAMES)
+    ),
+    strategies.tuples(strategies.just("down"), strategies.booleans()),
+    strategies.tuples(strategies.just("stale"), strategies.booleans()),
+    strategies.tuples(
+        strategies.just("wait"), strategies.sampled_from([0.002, 0.5, 20.0])
+    ),
+)
+
+
+class _Schedule:
+    """Executes steps and knows the latest value where it is valid."""
+
+    def __init__(self, fleet, chance):
+        self.fleet = fleet
+        self.chance = chance
+        self.valid = {}
+        self.number = 0
+
+    async def execute(self, step, value):
+        platform = self.fleet.platform
+        if step == "put":
+            self.number += 1
+            text = f"text {self.number}"
+            self.valid[value] = (platform.put(value, text), text)
+        elif step == "put-invalid":
+            # The platform keeps no older value, so the valid one may be
+            # lost before anyone reads it.
+            platform.put(value, "invalid")
+            self.valid.pop(value, None)
+        elif step == "delete":
+            self.valid[value] = (platform.delete(value), None)
+        elif step == "cut":
+            rest = set(self.fleet.names) - value
+            self.fleet.cut(value, rest)
+            if self.chance.random() < 0.5:
+                self.fleet.cut(rest, value)
+        elif step == "heal":
+            self.fleet.heal()
+        elif step == "restart":
+            await self.restart(value)
+        elif step == "down":
+            platform.set_down(value)
+        elif step == "stale":
+            platform.set_stale(value)
+        else:
+            await trio.sleep(value)
+
+    async def restart(self, name):
+        """Replace a daemon; with the others in reach it is never behind."""
+        await self.fleet.stop(name)
+        connected = not any(name in pair for pair in self.fleet.cuts)
+        await trio.sleep(1)
+        others = list(self.fleet.daemons.values())
+        before = {
+            key: min(daemon.store.revision_of(key) for daemon in others)
+            for key in KEYS
+        }
+        daemon = simulation.SimulatedDaemon(self.fleet, name)
+        self.fleet.daemons[name] = daemon
+        daemon.distributor.set_neighbours(
+            [other.instance_id for other in others[:4]], reader=False
+        )
+        await daemon.distributor.start(self.fleet.nursery)
+        with trio.move_on_after(20):
+            await daemon.distributor.ready()
+        if connected and daemon.distributor.is_ready:
+            for key, revision in before.items():
+                assert daemon.store.revision_of(key) >= revision
+
+    async def check_converged(self):
+        self.fleet.heal()
+        self.fleet.platform.set_stale(False)
+        self.fleet.platform.set_down(False)
+        await trio.sleep(60)
+        for key in KEYS:
+            found = {
+                (daemon.store.revision_of(key), daemon.text(key))
+                for daemon in self.fleet.daemons.values()
+            }
+            assert len(found) == 1
+            if key in self.valid:
+                assert found == {self.valid[key]}
+
+
+class TestConvergence:
+    @seed(20261204)
+    @settings(max_examples=60, deadline=None, database=None)
+    @given(
+        steps=strategies.lists(STEPS, min_size=3, max_size=25),
+        number=strategies.integers(0, 2**16),
+    )
+    def test_schedules(self, steps, number):
+        # Guards against any order of failures that brings an older revision
+        # back or leaves daemons apart for good.
+        async def test(fleet):
+            await fleet.start()
+            schedule = _Schedule(fleet, random.Random(number))
+            for step, value in steps:
+                await schedule.execute(step, value)
+                test_distributor.check_history(fleet)
+            await schedule.check_converged()
+
+        test_distributor.run(test, count=len(NAMES), seed=number)
--- a/src/hawthornmast/configuration/tests/test_distributor.py
+++ b/src/hawthornmast/configuration/tests/test_distributor.py
@@ -4,6 +4,7 @@
 import trio
 import trio.testing
 
+from hawthornmast import configuration
 from hawthornmast.audit import Act
 from standins import fleet as simulation
 
@@ -156,6 +157,8 @@
             await fleet.start()
             fleet.platform.set_down(True)
             await trio.sleep(2 * HOUR_S)
+            # All five daemons are readers; their pauses grow to 2 s or more.
+            assert fleet.platform.calls["failed"] < 5 * 2 * HOUR_S / 2
             await fleet.stop("d4")
             # Its neighbours come from the settings while nothing is read.
             daemon = simulation.SimulatedDaemon(fleet, "d4")
@@ -191,6 +194,20 @@
 
         run(test, count=12)
 
+    def test_document_of_another_digest(self):
+        # Guards against a peer whose document isn't the announced one.
+        async def test(fleet):
+            await fleet.start()
+            fleet.platform.set_down(True)
+            fleet.daemons["d0"].store._documents[KEY] = (99, b"wrong")
+            daemon = fleet.daemons["d5"]
+            announce = configuration.Announce(entries=[(KEY, 99, b"d" * 16)])
+            daemon.distributor.handle(announce, "d0")
+            await trio.sleep(30)
+            assert daemon.text(KEY) == "first"
+
+        run(test, count=12)
+
 
 class TestPlatformCalls:
     def test_rate_does_not_grow_with_daemons(self):
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -58,7 +58,8 @@
     delay_s
         Seconds before each answer.
     calls
-        Number of calls by kind: ``changes``, ``values`` and ``limited``.
+        Number of calls by kind: ``changes``, ``values``, ``limited`` (also
+        counted by kind) and ``failed`` (made in this process while down).
     """
 
     def __init__(self, *, reads_per_s: float = READS_PER_S) -> None:
@@ -72,7 +73,7 @@
         self._filled_at = -math.inf
         self.down = False
         self.delay_s = 0.0
-        self.calls = {"changes": 0, "values": 0, "limited": 0}
+        self.calls = {"changes": 0, "values": 0, "limited": 0, "failed": 0}
 
     @property
     def revision(self) -> int:
@@ -158,6 +159,7 @@
                 )
                 if not self.down:
                     return Ok(answer)
+            self.calls["failed"] += 1
             detail = "connection closed"
         await trio.lowlevel.checkpoint()
         return Err(StepError(step="exchange", detail=detail, peer="platform"))
