--- a/src/hawthornmast/forwarding/forwarder.py
+++ b/src/hawthornmast/forwarding/forwarder.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-import hashlib
-import random
 
 import attrs
 from result import Err
@@ -17,6 +15,12 @@
 from hawthornmast.forwarding import relay
 from hawthornmast.forwarding.headers import filter_headers
 from hawthornmast.forwarding.headers import RawHeaders
+from hawthornmast.forwarding.judgement import is_own
+from hawthornmast.forwarding.judgement import is_shed
+from hawthornmast.forwarding.judgement import judge_cancelled
+from hawthornmast.forwarding.judgement import judge_error
+from hawthornmast.forwarding.judgement import judge_status
+from hawthornmast.forwarding.judgement import was_hurried
 from hawthornmast.forwarding.matching import find_entry
 from hawthornmast.forwarding.messages import Answer
 from hawthornmast.forwarding.messages import ClientRequest
@@ -28,10 +32,14 @@
 from hawthornmast.forwarding.tickets import Rejected
 from hawthornmast.forwarding.tickets import TicketBook
 from hawthornmast.forwarding.tickets import TicketRecord
+from hawthornmast.forwarding.translation import build_answer
+from hawthornmast.forwarding.translation import build_request
+from hawthornmast.forwarding.translation import digest_request
+from hawthornmast.forwarding.translation import refuse_busy
+from hawthornmast.forwarding.translation import wrong_instance
 from hawthornmast.forwarding.upstream import Exchange
 from hawthornmast.forwarding.upstream import Progress
 from hawthornmast.forwarding.upstream import UpstreamClient
-from hawthornmast.forwarding.upstream import UpstreamRequest
 from hawthornmast.health import Evidence
 
 BUFFER_BYTES = 65_536
@@ -40,9 +48,6 @@
 OLD_BUFFER_BYTES = 1_048_576
 MAX_ATTEMPTS = 4
 RELAY_S = 5.0
-# A timeout counts as a failure of the upstream only after it had the request
-# for this part of the entry's deadline; clients may ask for short timeouts.
-_FAIR_PART = 0.5
 
 Deliver = Callable[[Answer, Exchange], Awaitable[bool]]
 
@@ -96,14 +101,18 @@
         because its request may have run under an earlier configuration.
         """
         if request.ticket is None:
-            return self._check_catalogue(request)
+            selected = self._select(request)
+            return selected if isinstance(selected, Answer) else None
         if self._tickets.is_foreign(request.ticket):
             used = self._tickets.redeem(request.ticket, request.service, b"")
             assert isinstance(used, Rejected)
             return self._reject(used, request.service)
         return None
 
-    def _check_catalogue(self, request: ClientRequest) -> Answer | None:
+    def _select(
+        self, request: ClientRequest
+    ) -> Answer | tuple[ServiceRuntime, Entry] | None:
+        """Return a refusal, what runs the request, or None to relay it."""
         runtime = self._directory.runtime(request.service)
         if runtime is None:
             owners = self._directory.owners(request.service)
@@ -121,7 +130,7 @@
             return refuse(405, "method", headers=[(b"allow", value)])
         if not found.ok_value.idempotent and request.ticket is None:
             return refuse(428, "ticket-required", detail=found.ok_value.name)
-        return None
+        return runtime, found.ok_value
 
     async def run(
         self,
@@ -145,7 +154,7 @@
         if request.ticket is None:
             return await self._run(request, trace, scope, deliver)
         used = self._tickets.redeem(
-            request.ticket, request.service, _digest(request)
+            request.ticket, request.service, digest_request(request)
         )
         if isinstance(used, Rejected):
             return self._reject(used, request.service)
@@ -170,14 +179,13 @@
         scope: trio.CancelScope,
         deliver: Deliver,
     ) -> Answer:
-        refused = self._check_catalogue(request)
-        if refused is not None:
-            return refused
-        runtime = self._directory.runtime(request.service)
-        if runtime is None:
+        selected = self._select(request)
+        if isinstance(selected, Answer):
+            return selected
+        if selected is None:
             return await self._relay(request, scope, trace, deliver)
+        runtime, entry = selected
         service = runtime.service
-        entry = find_entry(service, request.method, request.path).unwrap()
         trace.entry, trace.owner = entry.name, entry.owner
         trace.rank, trace.revision = entry.rank.label, service.revision
         allowed_s = entry.deadline_ms / 1000
@@ -250,9 +258,13 @@
         if answer is not None:
             return answer
         reason = "client-left" if trace.left else "deadline"
-        if progress.started:
+        # An earlier attempt may have run as well.
+        last = attempts.last
+        if progress.started or (
+            last is not None and last.outcome is Outcome.UNKNOWN
+        ):
             return refuse(504, reason, outcome=Outcome.UNKNOWN)
-        return _busy(reason)
+        return refuse_busy(reason)
 
     async def _attempt(
         self,
@@ -273,7 +285,7 @@
             if attempts.last is not None:
                 return attempts.last
             refusal = admitted.err_value
-            return _busy(
+            return refuse_busy(
                 refusal.reason.value, refusal.retry_after, refusal.limit
             )
         admission = admitted.ok_value
@@ -287,14 +299,14 @@
             left_s = attempts.deadline - self._clock()
             sent = await self._upstreams.send(
                 upstream,
-                _build(request, headers, left_s),
+                build_request(request, headers, left_s),
                 progress,
                 deadline=attempts.deadline,
                 fresh=not entry.idempotent,
                 buffer_bytes=OLD_BUFFER_BYTES if request.old else BUFFER_BYTES,
             )
             if isinstance(sent, Err):
-                evidence = _judge_error(sent.err_value, progress)
+                evidence = judge_error(sent.err_value, progress)
                 return self._after_error(
                     sent.err_value,
                     upstream,
@@ -307,16 +319,16 @@
             try:
                 if exchange.header(b"upstream-state") == b"leaving":
                     runtime.note_leaving(upstream.upstream_id)
-                if not _is_own(exchange, request):
+                if not is_own(exchange, request):
                     evidence = Evidence.FAILED
                     error = StepError(step="read", detail="crossed response")
                     return self._after_error(
                         error, upstream, progress, runtime, entry, attempts
                     )
-                if exchange.complete and _is_shed(exchange, runtime):
+                if exchange.complete and is_shed(exchange, runtime.service):
                     evidence = Evidence.SHED
                     return self._after_shed(upstream, runtime, entry, attempts)
-                answer = _to_answer(request, exchange)
+                answer = build_answer(request, exchange)
                 if not exchange.complete:
                     if request.old:
                         return refuse(502, "too-long", outcome=Outcome.UNKNOWN)
@@ -324,9 +336,9 @@
                     answer.cut = not await deliver(answer, exchange)
                     if answer.cut:
                         answer.outcome = Outcome.UNKNOWN
-                evidence = _judge_status(exchange.status)
-                if exchange.status == 504 and self._was_hurried(
-                    entry, progress, attempts.deadline
+                evidence = judge_status(exchange.status)
+                if exchange.status == 504 and was_hurried(
+                    entry, progress, attempts.deadline, self._clock()
                 ):
                     evidence = Evidence.NEUTRAL
                 if answer.cut and not trace.left:
@@ -337,33 +349,12 @@
                 runtime.count_attempt(entry)
             return answer
         except trio.Cancelled:
-            evidence = self._judge_cancelled(trace, entry, progress)
+            evidence = judge_cancelled(trace, entry, progress, self._clock())
             raise
         finally:
             runtime.finish(attempt, evidence)
             admission.release()
 
-    def _judge_cancelled(
-        self, trace: Trace, entry: Entry, progress: Progress
-    ) -> Evidence:
-        if trace.left or trace.streaming or not progress.started:
-            return Evidence.NEUTRAL
-        spent = self._clock() - progress.started_at
-        if spent >= _FAIR_PART * entry.deadline_ms / 1000:
-            return Evidence.FAILED
-        return Evidence.NEUTRAL
-
-    def _was_hurried(
-        self, entry: Entry, progress: Progress, deadline: float
-    ) -> bool:
-        """Return whether a 504 is due to the client's short timeout."""
-        allowed_s = deadline - progress.started_at
-        spent = self._clock() - progress.started_at
-        return (
-            allowed_s < _FAIR_PART * entry.deadline_ms / 1000
-            and spent >= 0.8 * allowed_s
-        )
-
     def _after_error(
         self,
         error: StepError,
@@ -375,13 +366,13 @@
     ) -> Answer | None:
         """Decide after a failed exchange; None means another attempt."""
         if error.step == "deadline":
-            return attempts.last or _busy("deadline")
+            return attempts.last or refuse_busy("deadline")
         # A closed kept connection says nothing against its upstream.
         if not progress.reused:
             attempts.exclude.add(upstream.upstream_id)
         more = attempts.count < MAX_ATTEMPTS
         if not progress.started:
-            attempts.last = attempts.last or _busy("no-upstream")
+            attempts.last = attempts.last or refuse_busy("no-upstream")
             return None if more else attempts.last
         answer = refuse(
             502,
@@ -402,7 +393,7 @@
         attempts: _Attempts,
     ) -> Answer | None:
         attempts.exclude.add(upstream.upstream_id)
-        attempts.last = attempts.last or _busy("shed")
+        attempts.last = attempts.last or refuse_busy("shed")
         if attempts.count < MAX_ATTEMPTS and runtime.allow_retry(entry):
             return None
         return attempts.last
@@ -421,7 +412,7 @@
         """
         owners = self._directory.owners(request.service) or []
         if not owners:
-            return _busy("no-owner")
+            return refuse_busy("no-owner")
         headers = filter_headers(request.headers)
         mark = self._mark.sign(
             request.request_id, request.method, request.target
@@ -438,7 +429,9 @@
                 progress = Progress()
                 sent = await self._upstreams.send(
                     _as_upstream(owner),
-                    _build(request, headers, scope.deadline - self._clock()),
+                    build_request(
+                        request, headers, scope.deadline - self._clock()
+                    ),
                     progress,
                     deadline=scope.deadline,
                     fresh=False,
@@ -454,16 +447,16 @@
                     break
         if progress.started:
             return refuse(502, "relay-failed", outcome=Outcome.UNKNOWN)
-        return _busy("no-owner")
+        return refuse_busy("no-owner")
 
 
 async def _deliver_relayed(
     request: ClientRequest, exchange: Exchange, deliver: Deliver
 ) -> Answer:
     try:
-        if not _is_own(exchange, request):
+        if not is_own(exchange, request):
             return refuse(502, "relay-failed", outcome=Outcome.UNKNOWN)
-        answer = _to_answer(request, exchange, relayed=True)
+        answer = build_answer(request, exchange, relayed=True)
         if not exchange.complete:
             if request.old:
                 return refuse(502, "too-long", outcome=Outcome.UNKNOWN)
@@ -482,101 +475,3 @@
         port=owner.port,
         slots=1,
     )
-
-
-def _busy(
-    reason: str, retry_after: float | None = None, detail: str = ""
-) -> Answer:
-    if retry_after is None:
-        retry_after = 0.5 + random.random()
-    return refuse(503, reason, retry_after=retry_after, detail=detail)
-
-
-def wrong_instance(owners: list[Instance]) -> Answer:
-    """Return the answer that names the owners of a service."""
-    value = ", ".join(owner.address for owner in owners).encode()
-    return refuse(
-        421, "wrong-instance", headers=[(b"hawthornmast-owners", value)]
-    )
-
-
-def _digest(request: ClientRequest) -> bytes:
-    digest = hashlib.blake2b(digest_size=16)
-    for part in (
-        request.method.encode(),
-        request.target.encode(),
-        request.body,
-    ):
-        digest.update(b"%d:" % len(part))
-        digest.update(part)
-    return digest.digest()
-
-
-def _build(
-    request: ClientRequest, headers: RawHeaders, left_s: float
-) -> UpstreamRequest:
-    left_ms = max(1, int(left_s * 1000))
-    return UpstreamRequest(
-        method=request.method.encode(),
-        target=request.target.encode(),
-        headers=[
-            (b"host", request.service.encode()),
-            *headers,
-            (b"hawthornmast-request-id", request.request_id.encode()),
-            (b"hawthornmast-timeout-ms", b"%d" % left_ms),
-        ],
-        body=request.body,
-        framed=request.framed,
-    )
-
-
-def _is_own(exchange: Exchange, request: ClientRequest) -> bool:
-    """Return False when the response names another request."""
-    named = exchange.header(b"hawthornmast-request-id")
-    return named is None or named == request.request_id.encode()
-
-
-def _is_shed(exchange: Exchange, runtime: ServiceRuntime) -> bool:
-    certificate = runtime.service.not_run_header
-    if certificate is None or exchange.status != 503:
-        return False
-    name, value = certificate
-    return exchange.header(name.lower().encode()) == value.encode()
-
-
-def _judge_error(error: StepError, progress: Progress) -> Evidence:
-    if error.step == "deadline" or error.detail.startswith("all "):
-        return Evidence.NEUTRAL
-    if progress.reused and not progress.answered:
-        return Evidence.NEUTRAL
-    return Evidence.FAILED
-
-
-def _judge_status(status: int) -> Evidence:
-    if status >= 500:
-        return Evidence.FAILED
-    return Evidence.NEUTRAL if status >= 400 else Evidence.OK
-
-
-def _to_answer(
-    request: ClientRequest, exchange: Exchange, *, relayed: bool = False
-) -> Answer:
-    headers = filter_headers(exchange.headers, relayed=relayed)
-    outcome = Outcome.COMPLETE
-    reason = ""
-    if relayed:
-        text = exchange.header(b"hawthornmast-outcome") or b"unknown"
-        try:
-            outcome = Outcome(text.decode("latin-1"))
-        except ValueError:
-            outcome = Outcome.UNKNOWN
-        value = exchange.header(b"hawthornmast-reason") or b""
-        reason = value.decode("latin-1")
-    return Answer(
-        status=exchange.status,
-        outcome=outcome,
-        reason=reason,
-        headers=headers,
-        body=bytes(exchange.body),
-        length=exchange.header(b"content-length"),
-    )
