--- a/src/hawthornmast/configuration/distributor.py
+++ b/src/hawthornmast/configuration/distributor.py
@@ -52,7 +52,8 @@
         Whether this daemon keeps the document of a key; call ``refresh``
         after its answers change.
     holders
-        Daemons that probably keep a document, such as a service's owners.
+        Identifiers of daemons that probably keep a document, such as the
+        owners of its service.
     bootstrap_keys
         Keys without which the neighbours aren't known; they are put in
         force before the peers are asked at start-up.
--- a/src/hawthornmast/configuration/tests/test_distributor.py
+++ b/src/hawthornmast/configuration/tests/test_distributor.py
@@ -194,6 +194,27 @@
 
         run(test, count=12)
 
+    def test_value_that_cannot_be_read_yet(self):
+        # Guards against a change that is lost because the watch has moved
+        # past it when its value could not be read.
+        async def test(fleet):
+            await fleet.start()
+            request = fleet.platform.request
+
+            async def fail_values(target, timeout):
+                if target.startswith("/v1/values/"):
+                    target = "/v1/values/absent"
+                return await request(target, timeout)
+
+            fleet.platform.request = fail_values
+            revision = fleet.platform.put(KEY, "second")
+            await trio.sleep(30)
+            assert fleet.lowest_revision(KEY) < revision
+            fleet.platform.request = request
+            await wait_for(fleet, revision, within=10)
+
+        run(test, count=12)
+
     def test_document_of_another_digest(self):
         # Guards against a peer whose document isn't the announced one.
         async def test(fleet):
