Let a new daemon wait for a peer before it serves

Cause: after 5 s a new daemon served with the platform's answer alone, and a daemon that the lagging list does not hold yet had no neighbours, so it asked nobody. With a stale platform both put an older revision in force. Ruled out: a longer wait, which only delays the reversal. Before: the new test failed for a listed and for an unlisted daemon. After: both wait until a peer answers and then take its revision. A daemon whose neighbours are all gone asks other listed daemons in turn. Cost: a daemon that reaches the platform but no listed peer does not serve.

--- a/src/hawthornmast/configuration/distributor.py
+++ b/src/hawthornmast/configuration/distributor.py
@@ -26,7 +26,7 @@
 ASK_S = 1.0
 STARTUP_PEERS = 3
 STARTUP_S = 5.0
-"""Time after which a new daemon serves without the answers still missing."""
+"""Time after which a new daemon serves with the answer of one peer."""
 
 PAGE_BYTES = 262_144
 """Small pages keep heartbeats between them within the silence limit."""
@@ -245,7 +245,14 @@
                 await self._fetcher.resolve(key)
             await self._ask_neighbours()
             late = trio.current_time() - started >= STARTUP_S
-            if (listed or self._answered) and (late or self._has_enough()):
+            known = all(
+                self._store.document(key) for key in self._bootstrap_keys
+            )
+            if listed and known and not self._neighbours:
+                return
+            # The platform alone is never enough where there are peers: it
+            # may be stale, and what is in force must not go back.
+            if self._answered and (late or self._has_enough()):
                 return
             await trio.sleep(0.1 * self._random.uniform(0.5, 1.5))
 
--- a/src/hawthornmast/configuration/tests/test_distributor.py
+++ b/src/hawthornmast/configuration/tests/test_distributor.py
@@ -59,6 +59,32 @@
 
         run(test, count=count)
 
+    @pytest.mark.parametrize("listed", [True, False])
+    def test_fresh_daemon_without_peers_waits(self, listed):
+        # Guards against a new daemon that reaches only a stale platform and
+        # serves an older revision, also while the lagging list lacks it.
+        async def test(fleet):
+            new = "d4" if listed else "d9"
+            await fleet.start(*fleet.names)
+            fleet.platform.set_stale(True)
+            stale, fleet.platform._frozen = fleet.platform._frozen, None
+            revision = fleet.platform.put(KEY, "second")
+            await wait_for(fleet, revision, within=2)
+            fleet.platform._frozen = stale
+            if listed:
+                await fleet.stop(new)
+            fleet.cut([new], fleet.names)
+            fleet.cut(fleet.names, [new])
+            fleet.nursery.start_soon(fleet.start, new)
+            await trio.sleep(HOUR_S)
+            assert not fleet.daemons[new].distributor.is_ready
+            fleet.heal()
+            with trio.fail_after(10):
+                await fleet.daemons[new].distributor.ready()
+            assert fleet.daemons[new].history[KEY] == [revision]
+
+        run(test, count=6)
+
     def test_readers_with_crossed_revisions(self):
         # Guards against the reader that is behind overruling the other.
         async def test(fleet):
--- a/src/hawthornmast/daemon/member.py
+++ b/src/hawthornmast/daemon/member.py
@@ -42,6 +42,11 @@
 TICK_S = 0.1
 """Period of health and slot division, a tenth of the detection target."""
 
+WIDEN_S = 3.0
+"""Time between two selections of more peers while a start waits."""
+
+WIDEN_DAEMONS = 4
+
 SMALL_FLEET_SERVICES = 256
 """Up to this many services every daemon keeps all catalogue documents.
 
@@ -68,11 +73,12 @@
         self._random = random.Random(self.incarnation)
         self._leaving = False
         self._stopped = trio.Event()
+        self._widen_at = trio.current_time() + WIDEN_S
         self._groups: frozenset[tuple[str, ...]] = frozenset()
         self.audit = AuditTrail(capacity=settings.limits.audit_records)
         self.metrics = Metrics()
         self.requests = RequestLog(capacity=settings.limits.request_records)
-        self.directory = Directory(self_id=self.instance.instance_id)
+        self.directory = Directory(instance=self.instance)
         self.network = PeerNetwork(
             instance=self.instance,
             incarnation=self.incarnation,
@@ -181,6 +187,7 @@
         await self.distributor.start(nursery)
         nursery.start_soon(self._tick_forever)
         await self.distributor.ready()
+        self._apply_daemons()
         await self.server.start(nursery)
         log_event(
             _LOG,
@@ -326,6 +333,7 @@
             for runtime in self.services:
                 runtime.tick()
             self._connect_peers_if_changed()
+            self._widen_start_up()
             counted = self._count_peers(counted)
             await trio.sleep(TICK_S)
 
@@ -335,6 +343,28 @@
             self._groups = groups
             self._connect_peers()
 
+    def _widen_start_up(self) -> None:
+        """Ask other listed daemons when no neighbour answers at the start.
+
+        The list lags, so that all neighbours by it may be gone.
+        """
+        now = trio.current_time()
+        if self.distributor.is_ready or now < self._widen_at:
+            return
+        self._widen_at = now + WIDEN_S
+        neighbours = self.directory.neighbours()
+        others = [
+            item
+            for item in self.directory.daemons
+            if item.instance_id != self.instance.instance_id
+        ]
+        more = self._random.sample(others, min(len(others), WIDEN_DAEMONS))
+        wanted = {item.instance_id: item for item in (*neighbours, *more)}
+        self.network.set_neighbours(wanted.values())
+        self.distributor.set_neighbours(
+            wanted, reader=self.directory.is_reader()
+        )
+
     def _count_peers(self, counted: tuple[int, int]) -> tuple[int, int]:
         sent, received = self.network.count_bytes()
         self.metrics.count_peer_bytes(Direction.SENT, sent - counted[0])
--- a/src/hawthornmast/membership/directory.py
+++ b/src/hawthornmast/membership/directory.py
@@ -20,12 +20,12 @@
 
     Parameters
     ----------
-    self_id
-        Identifier of this daemon.
+    instance
+        This daemon.
     """
 
-    def __init__(self, *, self_id: str) -> None:
-        self._self_id = self_id
+    def __init__(self, *, instance: Instance) -> None:
+        self._instance = instance
         self._daemons: dict[str, Instance] = {}
         self._upstreams: dict[str, tuple[Upstream, ...]] = {}
         self._leaving: set[str] = set()
@@ -115,16 +115,18 @@
         return found
 
     def neighbours(self) -> tuple[Instance, ...]:
-        """Return this daemon's neighbours; none while it isn't listed."""
-        own = self._daemons.get(self._self_id)
-        if own is None:
-            return ()
-        return placement.neighbours_of(own, self._daemons.values())
+        """Return this daemon's neighbours, also before it is listed.
+
+        A new daemon needs peers at once, while the list still lags.
+        """
+        return placement.neighbours_of(self._instance, self._daemons.values())
 
     def is_reader(self) -> bool:
         """Return whether this daemon watches the platform."""
         readers = placement.readers_of(self._daemons.values())
-        return any(r.instance_id == self._self_id for r in readers)
+        return any(
+            r.instance_id == self._instance.instance_id for r in readers
+        )
 
     def _notify(self, key: str) -> None:
         for callback in list(self._watchers):
--- a/src/hawthornmast/membership/tests/test_directory.py
+++ b/src/hawthornmast/membership/tests/test_directory.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from hawthornmast import common
 from hawthornmast import membership
 
 ENTRY = {
@@ -15,6 +16,9 @@
 }
 
 
+OWN = common.Instance(**ENTRY)
+
+
 class TestDirectory:
     @pytest.mark.parametrize(
         "bad",
@@ -33,7 +37,7 @@
         text = json.dumps([ENTRY, {**ENTRY, "instance_id": "b", **bad}])
         if not bad:
             text = json.dumps([ENTRY, ENTRY])
-        directory = membership.Directory(self_id="a")
+        directory = membership.Directory(instance=OWN)
         directory.apply("instances/daemons", 1, json.dumps([ENTRY]))
         before = directory.daemons
         assert directory.apply("instances/daemons", 2, text).is_err()
@@ -42,7 +46,7 @@
 
     def test_owner_group_follows_list(self):
         # Guards against an owner group cached past its list.
-        directory = membership.Directory(self_id="a")
+        directory = membership.Directory(instance=OWN)
         changes = []
         directory.watch(changes.append)
         directory.apply("instances/daemons", 1, json.dumps([ENTRY]))
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -80,7 +80,7 @@
 
     def __init__(self, fleet: "SimulatedFleet", instance_id: str) -> None:
         self.instance_id = instance_id
-        self.directory = Directory(self_id=instance_id)
+        self.directory = Directory(instance=fleet.find_instance(instance_id))
         self.audit = AuditTrail(capacity=100)
         self.history: dict[str, list[int]] = {}
         self.accepted_at: dict[tuple[str, int], float] = {}
@@ -179,6 +179,13 @@
         """Identifiers of all listed daemons."""
         return [instance.instance_id for instance in self.instances]
 
+    def find_instance(self, name: str) -> Instance:
+        """Return a listed daemon, or one that isn't listed yet."""
+        for instance in self.instances:
+            if instance.instance_id == name:
+                return instance
+        return attrs.evolve(self.instances[0], instance_id=name)
+
     async def start(self, *names: str) -> None:
         """Start daemons, all by default, and wait until they are ready."""
         for name in names or self.names:
