Send and receive without a pass through the scheduler

trio's sockets reschedule after each successful call, which cost two scheduler passes per request. The proxy waits for the other side after each of its own sends, so it calls the non-blocking socket directly.

--- a/src/hawthornmast/forwarding/connection.py
+++ b/src/hawthornmast/forwarding/connection.py
@@ -1,6 +1,7 @@
 """One connection of a client."""
 
 import math
+import socket
 from typing import Protocol
 
 import h11
@@ -8,6 +9,7 @@
 
 from hawthornmast.forwarding import pages
 from hawthornmast.forwarding import relay
+from hawthornmast.forwarding import sockets
 from hawthornmast.forwarding.forwarder import Deliver
 from hawthornmast.forwarding.forwarder import Forwarder
 from hawthornmast.forwarding.headers import RawHeaders
@@ -61,9 +63,7 @@
 class ClientConnection:
     """Serves the requests of one connection, one after the other."""
 
-    def __init__(
-        self, host: Host, sock: trio.socket.SocketType, client: str
-    ) -> None:
+    def __init__(self, host: Host, sock: socket.socket, client: str) -> None:
         self.sock = sock
         self.idle = True
         # The server cancels this scope once the time is past the limit. A
@@ -135,7 +135,7 @@
             check_lines(connection.trailing_data[0], self._limits)
             event = connection.next_event()
             if event is h11.NEED_DATA:
-                data = await self.sock.recv(_READ_BYTES)
+                data = await sockets.receive(self.sock, _READ_BYTES)
                 if data and self.idle:
                     self.idle = False
                     self.limit = trio.current_time() + self._limits.header_s
@@ -179,7 +179,7 @@
         while True:
             event = connection.next_event()
             if event is h11.NEED_DATA:
-                data = await self.sock.recv(65_536)
+                data = await sockets.receive(self.sock, 65_536)
                 connection.receive_data(data)
             elif type(event) is h11.Data:
                 body += event.data
@@ -325,13 +325,13 @@
     async def _send_bytes(self, data: bytes) -> bool:
         """Send all bytes; return False when the client is gone."""
         try:
-            sent = await self.sock.send(data)
+            sent = await sockets.send_some(self.sock, data)
             if sent < len(data):
                 before = self.limit
                 if not self.trace.streaming:
                     self.limit = trio.current_time() + self._limits.write_s
                 while sent < len(data):
-                    sent += await self.sock.send(data[sent:])
+                    sent += await sockets.send_some(self.sock, data[sent:])
                 self.limit = before
         except OSError:
             return False
@@ -345,10 +345,10 @@
         """
         with trio.move_on_after(_LINGER_S):
             try:
-                self.sock.shutdown(trio.socket.SHUT_WR)
+                self.sock.shutdown(socket.SHUT_WR)
                 taken = 0
                 while taken < _LINGER_BYTES:
-                    data = await self.sock.recv(65_536)
+                    data = await sockets.receive(self.sock, 65_536)
                     if not data:
                         return
                     taken += len(data)
--- a/src/hawthornmast/forwarding/server.py
+++ b/src/hawthornmast/forwarding/server.py
@@ -7,6 +7,7 @@
 import logging
 import secrets
 import select
+import socket
 
 import trio
 
@@ -218,10 +219,12 @@
             sock.close()
             return
         sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
-        nursery.start_soon(self._serve_client, sock, address)
+        raw = socket.socket(fileno=sock.detach())
+        raw.setblocking(False)
+        nursery.start_soon(self._serve_client, raw, address)
 
     async def _serve_client(
-        self, sock: trio.socket.SocketType, address: tuple[str, int]
+        self, sock: socket.socket, address: tuple[str, int]
     ) -> None:
         connection = ClientConnection(self, sock, f"{address[0]}:{address[1]}")
         self._connections.add(connection)
--- /dev/null
+++ b/src/hawthornmast/forwarding/sockets.py
@@ -0,0 +1,29 @@
+"""Sending and receiving on non-blocking sockets.
+
+trio's sockets pass through its scheduler after each successful call. A proxy
+waits for the other side after each of its sends anyway, so that these
+functions only wait when the kernel makes them.
+"""
+
+import socket
+
+import trio
+
+
+async def receive(sock: socket.socket, size: int) -> bytes:
+    """Return the next bytes; empty at the end of the connection."""
+    while True:
+        await trio.lowlevel.wait_readable(sock)
+        try:
+            return sock.recv(size)
+        except BlockingIOError:
+            continue
+
+
+async def send_some(sock: socket.socket, data: bytes | memoryview) -> int:
+    """Send at least one byte; when cancelled, nothing was sent."""
+    while True:
+        try:
+            return sock.send(data)
+        except BlockingIOError:
+            await trio.lowlevel.wait_writable(sock)
--- a/src/hawthornmast/forwarding/upstream.py
+++ b/src/hawthornmast/forwarding/upstream.py
@@ -13,6 +13,7 @@
 
 from hawthornmast.common import StepError
 from hawthornmast.common import Upstream
+from hawthornmast.forwarding import sockets
 from hawthornmast.forwarding.headers import RawHeaders
 from hawthornmast.forwarding.writing import read_headers
 from hawthornmast.forwarding.writing import write_request
@@ -58,11 +59,11 @@
 class _Link:
     """One connection to an upstream."""
 
-    __slots__ = ("_raw", "connection", "idle_since", "pool", "sock")
+    __slots__ = ("closed", "connection", "idle_since", "pool", "sock")
 
-    def __init__(self, raw: socket.socket, pool: "_Pool") -> None:
-        self._raw = raw
-        self.sock = trio.socket.from_stdlib_socket(raw)
+    def __init__(self, sock: socket.socket, pool: "_Pool") -> None:
+        self.sock = sock
+        self.closed = False
         self.pool = pool
         self.idle_since = 0.0
         self.connection = h11.Connection(
@@ -71,14 +72,16 @@
         pool.open += 1
 
     def close(self) -> None:
-        if self.sock.fileno() >= 0:
+        # A cancelled connect has closed the socket already.
+        if not self.closed:
+            self.closed = True
             self.pool.open -= 1
             self.sock.close()
 
     def is_quiet(self) -> bool:
         """Return whether the connection is open with nothing to read."""
         try:
-            self._raw.recv(1, socket.MSG_PEEK)
+            self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return True
         except OSError:
@@ -141,7 +144,7 @@
         while True:
             event = connection.next_event()
             if event is h11.NEED_DATA:
-                data = await self._link.sock.recv(_READ_BYTES)
+                data = await sockets.receive(self._link.sock, _READ_BYTES)
                 connection.receive_data(data)
             elif type(event) is h11.Data:
                 return bytes(event.data)
@@ -236,11 +239,11 @@
                 return Err(StepError(step="deadline", detail="it passed"))
             # Either bytes are handed over and the call returns, or it
             # raises, also when cancelled, and the upstream got nothing.
-            sent = await link.sock.send(data)
+            sent = await sockets.send_some(link.sock, data)
             progress.started = True
             progress.started_at = now
             while sent < len(data):
-                sent += await link.sock.send(data[sent:])
+                sent += await sockets.send_some(link.sock, data[sent:])
             step = "read"
             exchange = await self._read_head(link, request, progress)
             while len(exchange.body) <= buffer_bytes:
@@ -323,7 +326,9 @@
         try:
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             with trio.move_on_after(self._connect_s):
-                await link.sock.connect((upstream.host, upstream.port))
+                await trio.socket.from_stdlib_socket(raw).connect(
+                    (upstream.host, upstream.port)
+                )
                 connected = True
             if not connected:
                 raise TimeoutError(f"no connection in {self._connect_s} s")
@@ -339,7 +344,7 @@
         while True:
             event = connection.next_event()
             if event is h11.NEED_DATA:
-                data = await link.sock.recv(_READ_BYTES)
+                data = await sockets.receive(link.sock, _READ_BYTES)
                 progress.answered = progress.answered or bool(data)
                 connection.receive_data(data)
             elif type(event) is h11.Response:
