Close the connection of a crossed response and retry on fresh ones

A complete response that named another request left its connection in the pool, where every later answer could be shifted by one. A retry after a closed kept connection could meet the next closed one and use up the retry budget.

--- a/src/hawthornmast/forwarding/forwarder.py
+++ b/src/hawthornmast/forwarding/forwarder.py
@@ -302,7 +302,8 @@
                 build_request(request, headers, left_s),
                 progress,
                 deadline=attempts.deadline,
-                fresh=not entry.idempotent,
+                # Other kept connections may have been closed as well.
+                fresh=not entry.idempotent or attempts.count > 1,
                 buffer_bytes=OLD_BUFFER_BYTES if request.old else BUFFER_BYTES,
             )
             if isinstance(sent, Err):
@@ -316,10 +317,11 @@
                     attempts,
                 )
             exchange = sent.ok_value
+            own = is_own(exchange, request)
             try:
                 if exchange.header(b"upstream-state") == b"leaving":
                     runtime.note_leaving(upstream.upstream_id)
-                if not is_own(exchange, request):
+                if not own:
                     evidence = Evidence.FAILED
                     error = StepError(step="read", detail="crossed response")
                     return self._after_error(
@@ -344,7 +346,7 @@
                 if answer.cut and not trace.left:
                     evidence = Evidence.FAILED
             finally:
-                exchange.abort()
+                exchange.release(own=own)
             if attempts.count == 1:
                 runtime.count_attempt(entry)
             return answer
@@ -453,8 +455,9 @@
 async def _deliver_relayed(
     request: ClientRequest, exchange: Exchange, deliver: Deliver
 ) -> Answer:
+    own = is_own(exchange, request)
     try:
-        if not is_own(exchange, request):
+        if not own:
             return refuse(502, "relay-failed", outcome=Outcome.UNKNOWN)
         answer = build_answer(request, exchange, relayed=True)
         if not exchange.complete:
@@ -464,7 +467,7 @@
             answer.cut = not await deliver(answer, exchange)
         return answer
     finally:
-        exchange.abort()
+        exchange.release(own=own)
 
 
 def _as_upstream(owner: Instance) -> Upstream:
--- a/src/hawthornmast/forwarding/tests/test_faults.py
+++ b/src/hawthornmast/forwarding/tests/test_faults.py
@@ -93,6 +93,10 @@
             answer = await fleet.call()
             assert outcome(answer) == (502, "unknown", "upstream-failed")
             assert b"key=" not in answer.body
+            # Later answers on that connection may be shifted as well.
+            fleet.set_faults(crossed=False)
+            assert b"key=k " in (await fleet.call()).body
+            assert fleet.standins[0].accepted == 2
 
     async def test_late_answer_after_the_client_left_is_dropped(self):
         async with run_fleet(1) as fleet:
--- a/src/hawthornmast/forwarding/upstream.py
+++ b/src/hawthornmast/forwarding/upstream.py
@@ -150,14 +150,22 @@
                 return bytes(event.data)
             elif type(event) is h11.EndOfMessage:
                 self.complete = True
-                self._client.keep(self._link)
                 return b""
             else:
                 raise h11.RemoteProtocolError("connection closed early")
 
-    def abort(self) -> None:
-        """Close the connection unless the response is complete."""
-        if not self.complete:
+    def release(self, *, own: bool) -> None:
+        """Keep the connection for other requests, or close it.
+
+        Parameters
+        ----------
+        own
+            The response belongs to the request. After a response to another
+            request, all later ones on the connection may be shifted.
+        """
+        if own and self.complete:
+            self._client.keep(self._link)
+        else:
             self._link.close()
 
 
