--- a/src/hawthornmast/forwarding/forwarder.py
+++ b/src/hawthornmast/forwarding/forwarder.py
@@ -8,7 +8,6 @@
 import trio
 
 from hawthornmast.catalogue import Entry
-from hawthornmast.common import Instance
 from hawthornmast.common import Outcome
 from hawthornmast.common import StepError
 from hawthornmast.common import Upstream
@@ -430,7 +429,7 @@
                 trace.upstreams.append(owner.instance_id)
                 progress = Progress()
                 sent = await self._upstreams.send(
-                    _as_upstream(owner),
+                    relay.as_upstream(owner),
                     build_request(
                         request, headers, scope.deadline - self._clock()
                     ),
@@ -468,13 +467,3 @@
         return answer
     finally:
         exchange.release(own=own)
-
-
-def _as_upstream(owner: Instance) -> Upstream:
-    return Upstream(
-        upstream_id=f"relay {owner.instance_id}",
-        zone=owner.zone,
-        host=owner.host,
-        port=owner.port,
-        slots=1,
-    )
--- a/src/hawthornmast/forwarding/relay.py
+++ b/src/hawthornmast/forwarding/relay.py
@@ -4,6 +4,9 @@
 import hashlib
 import hmac
 
+from hawthornmast.common import Instance
+from hawthornmast.common import Upstream
+
 HEADER = b"hawthornmast-relayed"
 
 
@@ -46,3 +49,14 @@
         text = f"{request_id}\n{method}\n{target}".encode()
         mac = hmac.new(key, text, hashlib.sha256).hexdigest()[:32]
         return f"{request_id}.{mac}".encode("latin-1", errors="replace")
+
+
+def as_upstream(owner: Instance) -> Upstream:
+    """Return the address to which requests for an owner are sent."""
+    return Upstream(
+        upstream_id=f"relay {owner.instance_id}",
+        zone=owner.zone,
+        host=owner.host,
+        port=owner.port,
+        slots=1,
+    )
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -6,6 +6,7 @@
 import json
 import logging
 import random
+import time
 from typing import Any
 
 import attrs
@@ -414,6 +415,8 @@
         faults=faults,
         seed=options.seed,
         max_log=options.max_log,
+        # One clock for all processes of the machine.
+        clock=time.monotonic,
     )
     serve = functools.partial(
         http.serve_connection, handler=standin.handle_control
