Plan grants in ticks only and confirm members while a new allocator waits

Planning at each demand took 0.39 ms for 16 members with 19 upstreams, 64 times a second under change. Plans are now made at most every 50 ms. With 100 ms or 50 ms alone, a recovery test missed one term and one tick, since an allocator restarted just before the end of the faults confirmed members only after its wait. It now grants the static shares meanwhile.

--- a/src/hawthornmast/limits/allocator.py
+++ b/src/hawthornmast/limits/allocator.py
@@ -9,7 +9,8 @@
 An upstream may be offered more than its slots in these cases:
 
 - A member restarts under its old identifier: by at most its static share,
-  until its first demand arrives, or for one term when it is the allocator.
+  until its first demand arrives. When it is the allocator, by at most the
+  static shares of the group, until each member asked again or its term ended.
 - Views differ: by at most the slots of one other view, until the lists agree.
 - A member lost the allocator while others ran requests on its static share:
   by those requests, until they finish.
@@ -65,6 +66,10 @@
 """
 
 
+_PLAN_S = 0.05
+"""Least time between two plans; one for 16 members takes about 0.4 ms."""
+
+
 @attrs.define(kw_only=True, eq=False)
 class _Sent:
     """A grant that was sent and not yet confirmed or expired."""
@@ -172,6 +177,7 @@
         self._regrows = float("inf")
         self._peers: dict[str, _Peer] = {}
         self._allocating_since: float | None = None
+        self._planned_at = float("-inf")
 
     @property
     def allowed(self) -> dict[str, int]:
@@ -279,7 +285,6 @@
                     break
                 del peer.sent[number]
         peer.owed = True
-        self._send_grants()
 
     @handle.register
     def _handle_grant(self, message: SlotGrant, sender: str) -> None:
@@ -365,9 +370,21 @@
     def _send_grants(self) -> None:
         now = self._clock()
         since = self._allocating_since
-        if since is None or now < since + TERM_S:
+        if since is None:
             return
-        plan = self._plan(now)
+        if now < self._planned_at + _PLAN_S - 1e-9:
+            return
+        self._planned_at = now
+        if now < since + TERM_S:
+            # A new allocator lends nothing for a term. Grants of the static
+            # shares confirm the members by the end of it.
+            plan = {
+                name: dict(peer.static)
+                for name, peer in self._peers.items()
+                if peer.is_present(now)
+            }
+        else:
+            plan = self._plan(now)
         for name, slots in plan.items():
             peer = self._peers[name]
             if now < peer.sent_at + BUSY_S - 1e-9:
