Select entries by the catalogue's rule in forwarding

Cause: forwarding had a matcher of its own that decoded a path once and fell back to a shorter entry when the method differed. A path that is escaped twice reached an upstream under an idempotent entry, so that non-idempotent work could run without a ticket. Before: the new case /read/%252e%252e/renewals was answered with 200. After: 400 bad-target. Service.find_entry gets the undecoded target.

--- a/src/hawthornmast/forwarding/forwarder.py
+++ b/src/hawthornmast/forwarding/forwarder.py
@@ -20,7 +20,6 @@
 from hawthornmast.forwarding.judgement import judge_error
 from hawthornmast.forwarding.judgement import judge_status
 from hawthornmast.forwarding.judgement import was_hurried
-from hawthornmast.forwarding.matching import find_entry
 from hawthornmast.forwarding.messages import Answer
 from hawthornmast.forwarding.messages import ClientRequest
 from hawthornmast.forwarding.messages import refuse
@@ -120,12 +119,12 @@
             if request.ticket or request.relayed or not self._mark:
                 return wrong_instance(owners)
             return None
-        found = find_entry(runtime.service, request.method, request.path)
+        found = runtime.service.find_entry(request.method, request.target)
         if isinstance(found, Err):
-            allowed = found.err_value
-            if not allowed:
-                return refuse(404, "no-entry", detail=request.path)
-            value = ", ".join(allowed).encode()
+            missing = found.err_value
+            if not missing.methods:
+                return refuse(404, "no-entry", detail=missing.detail)
+            value = ", ".join(missing.methods).encode()
             return refuse(405, "method", headers=[(b"allow", value)])
         if not found.ok_value.idempotent and request.ticket is None:
             return refuse(428, "ticket-required", detail=found.ok_value.name)
--- a/src/hawthornmast/forwarding/inputs.py
+++ b/src/hawthornmast/forwarding/inputs.py
@@ -4,9 +4,9 @@
 import h11
 import trio
 
+from hawthornmast.catalogue import split_path
 from hawthornmast.forwarding import relay
 from hawthornmast.forwarding.headers import RawHeaders
-from hawthornmast.forwarding.matching import normalize_path
 from hawthornmast.forwarding.messages import ClientRequest
 from hawthornmast.forwarding.writing import read_headers
 
@@ -141,14 +141,13 @@
     service = authority.partition(":")[0].lower()
     if not service:
         raise BadInputError(400, "no-host")
-    path = normalize_path(target)
+    path = split_path(target)
     if path.is_err():
         raise BadInputError(400, "bad-target", path.unwrap_err())
     return ClientRequest(
         request_id="",
         method=method,
         target=target,
-        path=path.unwrap(),
         service=service,
         headers=headers,
         framed=length is not None or coding is not None,
--- a/src/hawthornmast/forwarding/messages.py
+++ b/src/hawthornmast/forwarding/messages.py
@@ -15,8 +15,6 @@
     ----------
     target
         In origin form.
-    path
-        Decoded path, free of ambiguous segments.
     service
         Name that the ``Host`` header gives, without a port.
     headers
@@ -38,7 +36,6 @@
     request_id: str
     method: str
     target: str
-    path: str
     service: str
     headers: RawHeaders
     body: bytes = b""
--- a/src/hawthornmast/forwarding/tests/test_server.py
+++ b/src/hawthornmast/forwarding/tests/test_server.py
@@ -55,6 +55,19 @@
                 (400, "not-run", "bad-target"),
             ),
             ("GET", "/read%2f..", "billing", (400, "not-run", "bad-target")),
+            # Escaped twice: an upstream that decodes again sees /renewals.
+            (
+                "GET",
+                "/read/%252e%252e/renewals",
+                "billing",
+                (400, "not-run", "bad-target"),
+            ),
+            (
+                "GET",
+                "/read;/../renewals",
+                "billing",
+                (400, "not-run", "bad-target"),
+            ),
             ("CONNECT", "a:1", "billing", (501, "not-run", "connect")),
         ],
     )
