--- /dev/null
+++ b/benchmarks/detection.py
@@ -0,0 +1,415 @@
+"""Detection time and wrong ejections on a virtual clock.
+
+Three owners share the traffic to seven upstreams. Every upstream fails 1% of
+its requests besides the fault under test. The bounds are those of table 1.2
+of the design page.
+"""
+
+import argparse
+from collections.abc import Callable
+import json
+import random
+import statistics
+import time
+from typing import Any
+
+import attrs
+
+from hawthornmast.catalogue import Service
+from hawthornmast.health import Evidence
+from hawthornmast.health import HealthMonitor
+from hawthornmast.health import Standing
+from hawthornmast.health.attempts import Attempt
+from hawthornmast.health.baseline import LatencyBaseline
+from hawthornmast.health.scores import HIGH
+from hawthornmast.health.scores import Score
+from hawthornmast.health.tests.simulation import make_upstreams
+from hawthornmast.health.tests.simulation import Simulation
+from hawthornmast.health.tests.simulation import Traffic
+
+OWNERS = ["a", "b", "c"]
+UPSTREAMS = 7
+WARM_S = 18.0
+"""Longer than the hold time, so that permits are usable at the fault."""
+
+BASE_ERRORS = 0.01
+LATENCY_S = 0.02
+HOURS_AIM = 10_000
+
+Answer = tuple[Evidence, float] | None
+
+
+class _NoEjection:
+    """Baseline that uses every upstream alike."""
+
+    def __init__(self, service: Service, **options: Any) -> None:
+        self._clock: Callable[[], float] = options["clock"]
+        self._bad: set[str] = set()
+        self._outstanding: dict[int, Attempt] = {}
+
+    def begin(self, upstream_id: str, entry_name: str) -> Attempt:
+        attempt = Attempt(
+            upstream_id=upstream_id,
+            entry_name=entry_name,
+            started=self._clock(),
+        )
+        self._outstanding[id(attempt)] = attempt
+        return attempt
+
+    def finish(self, attempt: Attempt, evidence: Evidence) -> None:
+        self._outstanding.pop(id(attempt), None)
+        self._judge(attempt, evidence)
+
+    def _judge(self, attempt: Attempt, evidence: Evidence) -> None:
+        pass
+
+    def standing(self, upstream_id: str) -> Standing:
+        return Standing(ejected=upstream_id in self._bad)
+
+    def update(self, *lists: Any, **options: Any) -> None:
+        pass
+
+    def handle(self, message: Any, sender: str) -> None:
+        pass
+
+    def tick(self) -> None:
+        pass
+
+
+class _FiveInRow(_NoEjection):
+    """Baseline that ejects after five consecutive failures."""
+
+    def __init__(self, service: Service, **options: Any) -> None:
+        super().__init__(service, **options)
+        self._row: dict[str, int] = {}
+
+    def _judge(self, attempt: Attempt, evidence: Evidence) -> None:
+        upstream_id = attempt.upstream_id
+        if evidence is Evidence.OK:
+            self._row[upstream_id] = 0
+        elif evidence is Evidence.FAILED:
+            self._row[upstream_id] = self._row.get(upstream_id, 0) + 1
+            if self._row[upstream_id] >= 5:
+                self._bad.add(upstream_id)
+
+
+class _PerDaemon(_NoEjection):
+    """Baseline with the sequential test on each daemon's own evidence."""
+
+    def __init__(self, service: Service, **options: Any) -> None:
+        super().__init__(service, **options)
+        self._scores: dict[str, Score] = {}
+        self._baseline = LatencyBaseline()
+
+    def _judge(self, attempt: Attempt, evidence: Evidence) -> None:
+        latency = self._clock() - attempt.started
+        limit = self._baseline.get_limit(attempt.entry_name)
+        if evidence is Evidence.OK:
+            self._baseline.add(attempt.entry_name, latency)
+        if not attempt.counted:
+            bad = evidence is Evidence.FAILED or latency > limit
+            self._count(attempt.upstream_id, bad)
+
+    def _count(self, upstream_id: str, bad: bool) -> None:
+        score = self._scores.setdefault(upstream_id, Score())
+        if bad:
+            score.add_failed("", self._clock())
+        else:
+            score.add_ok("")
+        if score.level >= HIGH:
+            self._bad.add(upstream_id)
+
+    def tick(self) -> None:
+        now = self._clock()
+        for key, attempt in list(self._outstanding.items()):
+            limit = self._baseline.get_limit(attempt.entry_name)
+            if now - attempt.started > limit:
+                attempt.counted = True
+                del self._outstanding[key]
+                self._count(attempt.upstream_id, True)
+
+
+MAKERS: dict[str, Any] = {
+    "pooled": HealthMonitor,
+    "no-ejection": _NoEjection,
+    "per-daemon": _PerDaemon,
+    "five-in-row": _FiveInRow,
+}
+
+
+@attrs.frozen(kw_only=True)
+class Fault:
+    """A fault of one upstream and its bound in table 1.2."""
+
+    name: str
+    rate: float
+    answer: Callable[[random.Random, str, float], Answer]
+    aim: str
+
+
+def _fail(rng: random.Random, owner: str, age: float) -> Answer:
+    return Evidence.FAILED, 0.005
+
+
+def _fail_half(rng: random.Random, owner: str, age: float) -> Answer:
+    if rng.random() < 0.5:
+        return Evidence.FAILED, 0.005
+    return Evidence.OK, LATENCY_S
+
+
+def _slow(rng: random.Random, owner: str, age: float) -> Answer:
+    return Evidence.OK, 10 * LATENCY_S
+
+
+def _never(rng: random.Random, owner: str, age: float) -> Answer:
+    return None
+
+
+def _cut(rng: random.Random, owner: str, age: float) -> Answer:
+    if owner == "a":
+        return Evidence.FAILED, 0.005
+    return Evidence.OK, LATENCY_S
+
+
+def _flap(rng: random.Random, owner: str, age: float) -> Answer:
+    # Fails for 1 s, then works for 1 s.
+    if age % 2.0 < 1.0:
+        return Evidence.FAILED, 0.005
+    return Evidence.OK, LATENCY_S
+
+
+FAULTS = (
+    Fault(name="failing", rate=20.0, answer=_fail, aim="1s"),
+    Fault(name="failing-half", rate=20.0, answer=_fail_half, aim="none"),
+    Fault(name="slow-10x", rate=20.0, answer=_slow, aim="1s"),
+    Fault(name="never-answering", rate=20.0, answer=_never, aim="1s"),
+    Fault(name="one-way-cut", rate=20.0, answer=_cut, aim="avoid-1s"),
+    Fault(name="flapping", rate=20.0, answer=_flap, aim="1s"),
+    Fault(name="failing", rate=1.0, answer=_fail, aim="5-failed"),
+    Fault(name="failing-half", rate=1.0, answer=_fail_half, aim="none"),
+    Fault(name="slow-10x", rate=1.0, answer=_slow, aim="none"),
+    Fault(name="never-answering", rate=1.0, answer=_never, aim="none"),
+    Fault(name="one-way-cut", rate=1.0, answer=_cut, aim="no-ejection"),
+)
+
+
+@attrs.define(kw_only=True)
+class Trial:
+    """What one trial showed."""
+
+    ejected_s: float | None = None
+    avoided_s: float | None = None
+    failed: int = 0
+    wrong: int = 0
+
+
+def run_trial(fault: Fault, maker: str, seed: int) -> Trial:
+    """Run one fault; the end of the wait is 12 s, or 60 s at low rates."""
+    service = Service(name="billing", owner="team", floor=0.7)
+    sim = Simulation(seed, service, make=MAKERS[maker])
+    upstreams = make_upstreams(UPSTREAMS)
+    for name in OWNERS:
+        sim.start(name).update(upstreams, OWNERS, view="1")
+    warm = 2.0 if fault.rate > 5 else 12.0
+    sim.run_until(sim.now + WARM_S - warm)
+    begin = sim.now + warm
+    trial = Trial()
+    rng = sim.rng
+
+    def respond(owner: str, upstream_id: str, now: float) -> Answer:
+        if upstream_id == "u3" and now >= begin:
+            found = fault.answer(rng, owner, now - begin)
+            if found is None or found[0] is not Evidence.OK or found[1] > 0.1:
+                trial.failed += 1
+            return found
+        if rng.random() < BASE_ERRORS:
+            return Evidence.FAILED, 0.005
+        return Evidence.OK, LATENCY_S * rng.uniform(0.5, 1.5)
+
+    Traffic(sim, respond, rate=fault.rate, upstreams=upstreams)
+    sim.run_until(begin)
+    end = begin + (12.0 if fault.rate > 5 else 60.0)
+    while sim.now < end and trial.ejected_s is None:
+        sim.run_until(sim.now + 0.01)
+        standings = [m.standing("u3") for m in sim.monitors.values()]
+        age = sim.now - begin
+        if trial.avoided_s is None and standings[0].avoided:
+            trial.avoided_s = age
+        if all(s.ejected for s in standings):
+            trial.ejected_s = age
+    for monitor in sim.monitors.values():
+        trial.wrong += any(
+            monitor.standing(u.upstream_id).ejected
+            for u in upstreams
+            if u.upstream_id != "u3"
+        )
+    return trial
+
+
+def measure_fault(
+    fault: Fault, maker: str, count: int, seed: int
+) -> dict[str, Any]:
+    """Run the trials of one row and compare them with its bound."""
+    trials = [run_trial(fault, maker, seed + i) for i in range(count)]
+    use_avoid = fault.aim == "avoid-1s"
+    found = [t.avoided_s if use_avoid else t.ejected_s for t in trials]
+    times = sorted(t for t in found if t is not None)
+    ejected = sum(t.ejected_s is not None for t in trials)
+    within = sum(t <= 1.0 for t in times) / count
+    failed = sorted(t.failed for t in trials)
+    share_failed = sum(
+        t.ejected_s is not None and t.failed <= 5 for t in trials
+    )
+    met: bool | None = None
+    if maker == "pooled":
+        if fault.aim == "1s":
+            met = within >= 0.99
+        elif fault.aim == "avoid-1s":
+            met = within >= 0.99 and ejected == 0
+        elif fault.aim == "5-failed":
+            met = share_failed / count >= 0.99
+        elif fault.aim == "no-ejection":
+            met = ejected == 0
+    return {
+        "row": fault.name,
+        "rate": fault.rate,
+        "monitor": maker,
+        "trials": count,
+        "aim": fault.aim,
+        "found": len(times),
+        "median_s": round(statistics.median(times), 2) if times else None,
+        "p99_s": _pick(times, count),
+        "within_1s": round(within, 4),
+        "ejected": ejected,
+        "failed_median": failed[count // 2],
+        "failed_max": failed[-1],
+        "within_5_failed": round(share_failed / count, 4),
+        "wrong": sum(t.wrong for t in trials),
+        "met": met,
+    }
+
+
+def _pick(times: list[Any], count: int) -> float | None:
+    rank = -(-99 * count // 100)
+    return round(times[rank - 1], 2) if len(times) >= rank else None
+
+
+def measure_wrong(seed: int, budget_s: float) -> dict[str, Any]:
+    """Run healthy upstreams for a processor time; count ejections.
+
+    A minute of cold start and a minute of shed load, each of one upstream,
+    recur; they take half of the time together. A misleading health endpoint
+    has no input to the monitor, so it cannot be varied here.
+    """
+    started = time.process_time()
+    hours, ejections, avoids, part = 0.0, 0, 0, 0
+    by_rate: dict[float, float] = {}
+    while time.process_time() - started < budget_s:
+        rate = (20.0, 1.0)[part % 2]
+        seconds = 600.0 if rate > 5 else 2400.0
+        found = _run_healthy(seed + part, rate, seconds)
+        gained = seconds * UPSTREAMS / 3600
+        by_rate[rate] = by_rate.get(rate, 0.0) + gained
+        hours += gained
+        ejections += found[0]
+        avoids += found[1]
+        part += 1
+    return {
+        "row": "wrong-ejections",
+        "monitor": "pooled",
+        "upstream_hours": round(hours, 1),
+        "hours_by_rate": {str(k): round(v, 1) for k, v in by_rate.items()},
+        "ejections": ejections,
+        "avoids": avoids,
+        "aim": f"0 in {HOURS_AIM} h",
+        "met": ejections == 0 and hours >= HOURS_AIM,
+    }
+
+
+def _run_healthy(seed: int, rate: float, seconds: float) -> tuple[int, int]:
+    service = Service(name="billing", owner="team", floor=0.7)
+    sim = Simulation(seed, service)
+    upstreams = make_upstreams(UPSTREAMS)
+    for name in OWNERS:
+        sim.start(name).update(upstreams, OWNERS, view="1")
+    begin, rng = sim.now, sim.rng
+
+    def relist(count: int, view: str) -> None:
+        for monitor in sim.monitors.values():
+            monitor.update(upstreams[:count], OWNERS, view=view)
+
+    def respond(owner: str, upstream_id: str, now: float) -> Answer:
+        phase = (now - begin) % 240.0
+        # The last upstream is listed again at 60 s and is slow for 4 s.
+        if upstream_id == upstreams[-1].upstream_id and 60 <= phase < 64:
+            return Evidence.OK, 0.4
+        if upstream_id == "u1" and 120 <= phase < 180 and rng.random() < 0.8:
+            return Evidence.SHED, 0.001
+        if rng.random() < BASE_ERRORS:
+            return Evidence.FAILED, 0.005
+        return Evidence.OK, LATENCY_S * rng.uniform(0.5, 1.5)
+
+    for cycle in range(int(seconds // 240) + 1):
+        at = begin + 240.0 * cycle
+        sim.call_at(at + 50, lambda: relist(UPSTREAMS - 1, "2"))
+        sim.call_at(at + 60, lambda: relist(UPSTREAMS, "1"))
+    Traffic(sim, respond, rate=rate, upstreams=upstreams)
+    sim.run_until(begin + seconds)
+    ejections = avoids = 0
+    for monitor in sim.monitors.values():
+        counts = monitor._audit.counts
+        ejections += sum(v for k, v in counts.items() if k == "eject")
+        avoids += sum(v for k, v in counts.items() if k == "avoid")
+    return ejections, avoids
+
+
+def main() -> int:
+    """Print one JSON line for each row, then a table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=None)
+    parser.add_argument("--trials", type=int, default=300)
+    parser.add_argument("--baseline-trials", type=int, default=40)
+    parser.add_argument("--wrong-s", type=float, default=180.0)
+    options = parser.parse_args()
+    seed = options.seed
+    if seed is None:
+        seed = random.SystemRandom().randrange(1_000_000)
+    print(json.dumps({"seed": seed}), flush=True)
+    rows: list[dict[str, Any]] = []
+    for maker in MAKERS:
+        count = options.trials
+        if maker != "pooled":
+            count = options.baseline_trials
+        for fault in FAULTS:
+            if count:
+                rows.append(measure_fault(fault, maker, count, seed))
+                print(json.dumps(rows[-1]), flush=True)
+    if options.wrong_s:
+        rows.append(measure_wrong(seed, options.wrong_s))
+        print(json.dumps(rows[-1]), flush=True)
+    print_table(rows)
+    return int(any(row["met"] is False for row in rows))
+
+
+def print_table(rows: list[dict[str, Any]]) -> None:
+    """Print the rows for reading."""
+    names = (
+        "row",
+        "rate",
+        "monitor",
+        "median_s",
+        "p99_s",
+        "within_1s",
+        "ejected",
+        "failed_max",
+        "wrong",
+        "aim",
+        "met",
+    )
+    print(" ".join(f"{name:>15}" for name in names))
+    for row in rows:
+        print(" ".join(f"{row.get(name, '')!s:>15}" for name in names))
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/src/hawthornmast/health/budget.py
+++ b/src/hawthornmast/health/budget.py
@@ -17,7 +17,7 @@
 from hawthornmast.health.owners import OwnerGroup
 from hawthornmast.health.state import UpstreamState
 
-STAGGER_S = 0.12
+STAGGER_S = 0.05
 """Owners eject in turn, so that one upstream takes one permit."""
 
 ASK_S = 0.3
--- a/src/hawthornmast/health/monitor.py
+++ b/src/hawthornmast/health/monitor.py
@@ -86,6 +86,7 @@
         self._on_change = on_change
         self._view = ""
         self._states: dict[str, UpstreamState] = {}
+        self._watched: set[str] = set()
         self._baseline = LatencyBaseline()
         self._outstanding = OutstandingAttempts()
         self._decayed = clock()
@@ -170,8 +171,10 @@
             if not first:
                 state.holdoff.start_ramp(now)
             self._states[upstream_id] = state
+            self._watched.add(upstream_id)
         for upstream_id in self._states.keys() - listed:
             del self._states[upstream_id]
+            self._watched.discard(upstream_id)
             self.budget.permits.release(upstream_id, now)
         size = len(listed)
         allowed = max(0, size - self._service.count_floor(size))
@@ -252,6 +255,7 @@
         self, state: UpstreamState, *, failed: bool, now: float
     ) -> None:
         self._reporter.count(state.upstream_id, failed=failed)
+        state.own_level = scores.step_level(state.own_level, failed=failed)
         if not failed:
             state.score.add_ok(self._self_id)
             return
@@ -277,12 +281,14 @@
 
     def _evaluate(self, state: UpstreamState, now: float) -> None:
         score = state.score
-        if score.fails_for(self._self_id) or (
+        if state.own_level >= scores.AVOID or (
             score.level >= scores.LOW and not score.works_for_some()
         ):
             state.avoid_until = now + AVOID_S
+            self._watched.add(state.upstream_id)
         if score.level < scores.LOW:
             return
+        self._watched.add(state.upstream_id)
         rate = self._estimate_rate(state)
         sick = score.is_sick(now, rate, len(self.budget.owners.members))
         if sick and not state.sick:
@@ -331,7 +337,12 @@
             elif not ejected and upstream_id in before:
                 self._end_ejection(state, now)
             state.was_ejected = ejected
-            self._publish(state, now)
+            if self._publish(state, now) == _NORMAL and (
+                state.score.level < scores.LOW
+            ):
+                self._watched.discard(upstream_id)
+            else:
+                self._watched.add(upstream_id)
 
     def _start_ejection(self, state: UpstreamState, now: float) -> None:
         state.holdoff.start(now)
@@ -363,16 +374,17 @@
             step="trial",
         )
 
-    def _publish(self, state: UpstreamState, now: float) -> None:
+    def _publish(self, state: UpstreamState, now: float) -> Standing:
         standing = self._compute_standing(state, now)
         if standing == state.published:
-            return
+            return standing
         newly_avoided = standing.avoided and not state.published.avoided
         if newly_avoided and not standing.ejected:
             self._append(Act.AVOID, state, step="evaluate")
         state.published = standing
         if self._on_change is not None:
             self._on_change(state.upstream_id, standing)
+        return standing
 
     def _compute_standing(self, state: UpstreamState, now: float) -> Standing:
         # Compared with the clock at each decision: a process that was paused
--- a/src/hawthornmast/health/reports.py
+++ b/src/hawthornmast/health/reports.py
@@ -16,7 +16,7 @@
 """Also confirms the group, so it must stay well below CONFIRM_S."""
 
 SHORTEST_S = 0.05
-"""Bounds the reports to one owner to 20 a second."""
+"""Bounds the reports of failures to one owner to 20 a second."""
 
 MOST_COUNTS = 256
 
@@ -87,7 +87,10 @@
     ) -> bool:
         # The margin keeps ticks of a rounded clock from missing a period.
         age = now - outbox.sent + 1e-6
-        if outbox.failed or outbox.at_once:
+        if outbox.at_once:
+            # Ejections are rare, and each one that waits costs requests.
+            return True
+        if outbox.failed:
             return age >= SHORTEST_S
         if outbox.counts and age >= CHANGED_S:
             return True
--- a/src/hawthornmast/health/scores.py
+++ b/src/hawthornmast/health/scores.py
@@ -11,14 +11,20 @@
 """Five failures in a row at the healthy rate exceed it (19.6)."""
 
 LOW_RUN_S = 1.0
+AVOID = 6.0
+"""Two own failures with at most two successes between them."""
+
 HIGH = 23.0
 """exp(-23) per request keeps wrong ejections below one in 10,000 hours."""
 
-SINGLE_SOURCE_S = 0.6
-"""Failures that one owner alone sees need this long, so that the evidence
-of the others, sent every 250 ms, can arrive first."""
+SINGLE_SOURCE_S = 0.8
+"""Failures that one owner alone sees need this long and the high threshold,
+so that the evidence of the others, sent every 250 ms, can arrive first."""
 
 _HEAD_START = 5
+_CONTRADICTING = 3
+"""Successes for each failure at which an upstream works for an owner."""
+
 _DECAY_FROM = 8
 _MOST = HIGH + 10
 """Caps the level, so that a recovered upstream is cleared soon."""
@@ -46,6 +52,13 @@
     return max(P_HEALTHY, (failed - 2 * math.sqrt(failed)) / total)
 
 
+def step_level(level: float, *, failed: bool) -> float:
+    """Return the level of a sequential test after one request."""
+    if failed:
+        return min(_MOST, level + _FAIL_STEP)
+    return max(0.0, level + _OK_STEP)
+
+
 @attrs.define(kw_only=True)
 class Score:
     """Evidence about one upstream, pooled over the owners.
@@ -100,17 +113,18 @@
         self.level = _HEAD_START * _FAIL_STEP
 
     def works_for_some(self) -> bool:
-        """Tell whether an owner's own evidence contradicts the failures."""
+        """Tell whether an owner's own evidence contradicts the failures.
+
+        A few successes may be older than the fault. They count only as long
+        as no second owner sees failures.
+        """
+        failing = sum(failed >= 2 for failed, _ in self.sources.values())
+        fewest = _CONTRADICTING if failing >= 2 else 1
         return any(
-            failed * _FAIL_STEP + ok * _OK_STEP < 0
+            ok >= max(fewest, _CONTRADICTING * failed)
             for failed, ok in self.sources.values()
         )
 
-    def fails_for(self, source: str) -> bool:
-        """Tell whether an owner sees it fail, whatever others see."""
-        failed, ok = self.sources.get(source, (0, 0))
-        return failed >= 3 and failed * _FAIL_STEP + ok * _OK_STEP >= 3.0
-
     def decay_sources(self) -> None:
         """Let recent evidence of each owner outweigh old evidence."""
         for counts in self.sources.values():
@@ -123,7 +137,7 @@
         if self.level < LOW or not self.sources or self.works_for_some():
             return False
         lasted = now - self.run_started
-        if owners > 1 and len(self.sources) < 2 and lasted < SINGLE_SOURCE_S:
-            return False
         score = compute_score(self.run_failed, self.run_ok, p_healthy)
+        if owners > 1 and len(self.sources) < 2:
+            return score >= HIGH and lasted >= SINGLE_SOURCE_S
         return score >= HIGH or (score >= LOW and lasted >= LOW_RUN_S)
--- a/src/hawthornmast/health/state.py
+++ b/src/hawthornmast/health/state.py
@@ -16,6 +16,9 @@
     listed: float
     score: Score = attrs.field(factory=Score)
     holdoff: HoldOff = attrs.field(factory=HoldOff)
+    own_level: float = 0.0
+    """Sequential test on this daemon's own requests only."""
+
     sick: bool = False
     sick_since: float = 0.0
     denied: bool = False
