Count an ejection by any owner in the one-way rows

The rows counted a trial only when all three owners ejected, so an ejection by one or two owners would have passed.

--- a/benchmarks/detection.py
+++ b/benchmarks/detection.py
@@ -201,6 +201,7 @@
     avoided_s: float | None = None
     failed: int = 0
     wrong: int = 0
+    any_ejected: bool = False
 
 
 def run_trial(fault: Fault, maker: str, seed: int) -> Trial:
@@ -233,6 +234,8 @@
         sim.run_until(sim.now + 0.01)
         standings = [m.standing("u3") for m in sim.monitors.values()]
         age = sim.now - begin
+        if any(s.ejected for s in standings):
+            trial.any_ejected = True
         if trial.avoided_s is None and standings[0].avoided:
             trial.avoided_s = age
         if all(s.ejected for s in standings):
@@ -255,6 +258,7 @@
     found = [t.avoided_s if use_avoid else t.ejected_s for t in trials]
     times = sorted(t for t in found if t is not None)
     ejected = sum(t.ejected_s is not None for t in trials)
+    any_ejected = sum(t.any_ejected for t in trials)
     within = sum(t <= 1.0 for t in times) / count
     failed = sorted(t.failed for t in trials)
     share_failed = sum(
@@ -265,11 +269,11 @@
         if fault.aim == "1s":
             met = within >= 0.99
         elif fault.aim == "avoid-1s":
-            met = within >= 0.99 and ejected == 0
+            met = within >= 0.99 and any_ejected == 0
         elif fault.aim == "5-failed":
             met = share_failed / count >= 0.99
         elif fault.aim == "no-ejection":
-            met = ejected == 0
+            met = any_ejected == 0
     return {
         "row": fault.name,
         "rate": fault.rate,
@@ -281,6 +285,7 @@
         "p99_s": _pick(times, count),
         "within_1s": round(within, 4),
         "ejected": ejected,
+        "ejected_by_any": any_ejected,
         "failed_median": failed[count // 2],
         "failed_max": failed[-1],
         "within_5_failed": round(share_failed / count, 4),
@@ -400,7 +405,7 @@
         "median_s",
         "p99_s",
         "within_1s",
-        "ejected",
+        "ejected_by_any",
         "failed_max",
         "wrong",
         "aim",
