Stop a daemon that waits and count its ejections

A daemon that had no configuration yet ignored SIGTERM, because the drain waited for a client server that was never started. A port that can't be opened is now reported with its setting. The metrics of ejections were declared but never set; they follow the standings of the monitor. A request that tried more than one upstream leaves a retry record.

--- a/src/hawthornmast/daemon/member.py
+++ b/src/hawthornmast/daemon/member.py
@@ -1,5 +1,7 @@
 """One member of the fleet."""
 
+from collections.abc import Iterator
+import contextlib
 import logging
 import random
 import secrets
@@ -19,6 +21,7 @@
 from hawthornmast.configuration import PlatformClient
 from hawthornmast.daemon import messages
 from hawthornmast.daemon.explanation import Explanation
+from hawthornmast.daemon.reports import EjectionMeter
 from hawthornmast.daemon.reports import Reporter
 from hawthornmast.daemon.runtime import Links
 from hawthornmast.daemon.services import Services
@@ -57,6 +60,16 @@
 """Daemons in each zone that keep the document of a service."""
 
 
+@contextlib.contextmanager
+def _naming(key: str, port: int) -> Iterator[None]:
+    """Name the setting in the error of a port that can't be opened."""
+    try:
+        yield
+    except OSError as error:
+        detail = f"{key} {port}: {error.strerror or error}"
+        raise OSError(error.errno, detail) from error
+
+
 class Daemon:
     """A member of the fleet, assembled from the slices.
 
@@ -72,11 +85,13 @@
         self.incarnation = secrets.randbits(64)
         self._random = random.Random(self.incarnation)
         self._leaving = False
+        self._serving = False
         self._stopped = trio.Event()
         self._widen_at = trio.current_time() + WIDEN_S
         self._groups: frozenset[tuple[str, ...]] = frozenset()
         self.audit = AuditTrail(capacity=settings.limits.audit_records)
         self.metrics = Metrics()
+        self._ejections = EjectionMeter(self.metrics)
         self.requests = RequestLog(capacity=settings.limits.request_records)
         self.directory = Directory(instance=self.instance)
         self.network = PeerNetwork(
@@ -182,13 +197,17 @@
         self._register_messages()
         self.network.watch(self._note_peer)
         self.directory.watch(self._note_list)
-        await self.administration.start(nursery)
-        await self.network.start(nursery)
+        with _naming("instance.admin_port", self.administration.port):
+            await self.administration.start(nursery)
+        with _naming("instance.peer_port", self.instance.peer_port):
+            await self.network.start(nursery)
         await self.distributor.start(nursery)
         nursery.start_soon(self._tick_forever)
         await self.distributor.ready()
         self._apply_daemons()
-        await self.server.start(nursery)
+        with _naming("instance.port", self.instance.port):
+            await self.server.start(nursery)
+        self._serving = True
         log_event(
             _LOG,
             "daemon-started",
@@ -213,14 +232,19 @@
         for peer_id in self.network.connected():
             self.network.post(peer_id, notice)
         self.directory.note_leaving(self.instance.instance_id)
-        self.server.begin_drain()
-        await self.server.finish(self.settings.limits.drain_grace_ms / 1000)
+        # A daemon that still waits for its configuration has no clients.
+        if self._serving:
+            self.server.begin_drain()
+            await self.server.finish(
+                self.settings.limits.drain_grace_ms / 1000
+            )
         self.audit.append(Act.DRAIN, step="end")
 
     async def close(self) -> None:
         """Close all ports and streams; requests in flight are cut."""
         self._stopped.set()
-        await self.server.close()
+        if self._serving:
+            await self.server.close()
         await self.distributor.close()
         await self.network.close()
         await self.administration.close()
@@ -332,6 +356,7 @@
         while not self._stopped.is_set():
             for runtime in self.services:
                 runtime.tick()
+            self._ejections.update(self.services)
             self._connect_peers_if_changed()
             self._widen_start_up()
             counted = self._count_peers(counted)
--- a/src/hawthornmast/daemon/reports.py
+++ b/src/hawthornmast/daemon/reports.py
@@ -1,5 +1,7 @@
 """Turns finished requests into records, metrics and audit records."""
 
+from collections.abc import Iterable
+
 import trio
 
 from hawthornmast.administration import BadInput
@@ -9,6 +11,7 @@
 from hawthornmast.audit import Act
 from hawthornmast.audit import AuditTrail
 from hawthornmast.common import Outcome
+from hawthornmast.daemon.runtime import Runtime
 from hawthornmast.daemon.services import Services
 from hawthornmast.forwarding import RequestReport
 
@@ -62,6 +65,18 @@
             )
         )
         self._count(report)
+        if len(report.upstreams) > 1:
+            self._audit.append(
+                Act.RETRY,
+                service=report.service,
+                entry=report.entry,
+                owner=report.owner,
+                revision=report.revision,
+                evidence=f"tried={','.join(report.upstreams)}",
+                step="attempt",
+                peer=report.upstreams[-1],
+                request_id=report.request_id,
+            )
         if report.outcome is Outcome.NOT_RUN and report.entry:
             self._audit.append(
                 Act.REFUSE,
@@ -96,3 +111,28 @@
             self._metrics.count_refusal(
                 report.reason, service=service, entry=entry
             )
+
+
+class EjectionMeter:
+    """Counts the ejections in effect on this daemon, by service."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+        self._ejected: dict[str, frozenset[str]] = {}
+
+    def update(self, runtimes: Iterable[Runtime]) -> None:
+        """Compare the ejected upstreams with those of the last call.
+
+        An ejection lasts seconds and this is called every 100 ms, so none
+        is missed.
+        """
+        seen = {}
+        for runtime in runtimes:
+            service = runtime.service
+            ejected = frozenset(runtime.monitor.list_ejected())
+            before = self._ejected.get(service.name, frozenset())
+            for _ in ejected - before:
+                self._metrics.count_ejection(service)
+            self._metrics.set_ejected(service, len(ejected))
+            seen[service.name] = ejected
+        self._ejected = seen
