--- a/src/hawthornmast/cli/inspection.py
+++ b/src/hawthornmast/cli/inspection.py
@@ -1,7 +1,9 @@
 """Subcommands that read the administration API of a daemon."""
 
+from collections.abc import Callable
 import functools
 import json
+from typing import Any
 import urllib.parse
 
 from cleo.commands.command import Command
@@ -16,6 +18,7 @@
 from hawthornmast.catalogue import rules
 from hawthornmast.catalogue.problems import find_nearest
 from hawthornmast.cli import output
+from hawthornmast.cli import rendering
 
 DEFAULT_ADMIN = "127.0.0.1:9180"
 _ADMIN = option(
@@ -26,6 +29,7 @@
     flag=False,
     default=DEFAULT_ADMIN,
 )
+_JSON = option("json", None, "Print the raw JSON of the daemon.")
 
 TERMS: dict[str, tuple[str, tuple[str, ...]]] = {
     "request": ("requests", ("ID",)),
@@ -53,8 +57,16 @@
     )
 
 
-def _print_response(command: Command, path: str) -> int:
-    """Print the JSON at a path; return the exit status."""
+def _show_json(value: Any) -> str:
+    return json.dumps(value, indent=2)
+
+
+def _print_response(
+    command: Command,
+    path: str,
+    render: Callable[[Any], str] = _show_json,
+) -> int:
+    """Print what is at a path; return the exit status."""
     parsed = parse_admin(command.option("admin"))
     if isinstance(parsed, Err):
         output.write_error(command, parsed.err_value)
@@ -62,15 +74,17 @@
     host, port = parsed.ok_value
     fetched = trio.run(functools.partial(http.fetch, host, port, "GET", path))
     if isinstance(fetched, Err):
+        error = fetched.err_value
         output.write_error(
             command,
-            f"{fetched.err_value}; is --admin the administration address of"
-            " a running daemon?",
+            f"no response from {host}:{port} at step {error.step}:"
+            f" {error.detail}; is --admin the administration address of a"
+            " running daemon?",
         )
         return 1
     response = fetched.ok_value
     try:
-        text = json.dumps(response.json(), indent=2)
+        value = response.json()
     except ValueError:
         output.write_error(
             command,
@@ -79,12 +93,22 @@
         )
         return 1
     if response.status != 200:
-        output.write_error(command, text)
+        output.write_error(command, _describe_refusal(value))
         return 1
-    output.write_text(command, text)
+    output.write_text(command, render(value))
     return 0
 
 
+def _describe_refusal(value: Any) -> str:
+    """Return the error of a response and what the daemon keeps."""
+    if not isinstance(value, dict) or "error" not in value:
+        return _show_json(value)
+    parts = [str(value["error"])]
+    if "retention" in value:
+        parts.append(str(value["retention"]))
+    return "; ".join(parts)
+
+
 class StatusCommand(Command):
     """Prints the state of a daemon."""
 
@@ -113,7 +137,7 @@
         argument("kind", "request, upstream or entry."),
         argument("terms", "What to explain, see below.", multiple=True),
     ]
-    options = [_ADMIN]
+    options = [_ADMIN, _JSON]
     help = """\
   <info>explain request ID</info>
     Outcome, reason, upstreams tried and times of one request. The ID is in
@@ -124,9 +148,9 @@
     The limits of a catalogue entry and what was refused under them.
 
 Each daemon explains only what it did itself, from the latest records in its
-memory. The output is JSON and names the catalogue's owners, limits and
-revision. Exit status 1 means that there is no such record or that the daemon
-could not be asked.
+memory. The text names owners, limits and revision as in the catalogue, and
+--json prints what the daemon sent. Exit status 1 means that there is no such
+record or that the daemon could not be asked.
 """
 
     def handle(self) -> int:
@@ -149,4 +173,9 @@
             )
             return 1
         quoted = [urllib.parse.quote(term, safe="") for term in terms]
-        return _print_response(self, f"/v1/explain/{path}/{'/'.join(quoted)}")
+        render: Callable[[Any], str] = _show_json
+        if not self.option("json"):
+            render = functools.partial(rendering.render_explanation, kind)
+        return _print_response(
+            self, f"/v1/explain/{path}/{'/'.join(quoted)}", render
+        )
--- a/src/hawthornmast/cli/tests/test_application.py
+++ b/src/hawthornmast/cli/tests/test_application.py
@@ -102,7 +102,11 @@
         ("arguments", "status", "expected"),
         [
             ("status", 0, '"instance": "a1"'),
-            ("explain upstream s u/1", 0, '"path": [ "s", "u/1" ]'),
+            (
+                "explain upstream s u/1 --json",
+                0,
+                '"path": [ "s", "u/1" ]',
+            ),
             ("explain entry s e", 1, "no entry 's/e' on this daemon"),
             ("explain request r1", 1, "latest 10000 requests"),
         ],
@@ -139,7 +143,9 @@
             tester.execute, f"status --admin 127.0.0.1:{port}"
         )
         assert ended == 1
-        assert "is --admin the administration" in tester.io.fetch_error()
+        shown = tester.io.fetch_error()
+        assert f"no response from 127.0.0.1:{port} at step connect" in shown
+        assert "is --admin the administration" in shown
 
 
 class TestParseAdmin:
