Show ages of records and count all kinds of bad input

Records carried only the time of the event loop's clock, which has an arbitrary origin, and their log lines had two fields named time. Six kinds of refused input and one reason were counted as other, and two kinds in the list did not exist.

--- a/src/hawthornmast/administration/metrics.py
+++ b/src/hawthornmast/administration/metrics.py
@@ -49,6 +49,7 @@
         "no-upstream",
         "queue-full",
         "shed",
+        "ticket-of-another-request",
         "ticket-required",
         "ticket-void",
         "wrong-instance",
@@ -63,9 +64,11 @@
 
     BAD_TARGET = "bad-target"
     BAD_TICKET = "bad-ticket"
+    BAD_TIMEOUT = "bad-timeout"
     BARE_LINE_FEED = "bare-line-feed"
+    BODIES_TOO_LONG = "bodies-too-long"
     BODY_TOO_LONG = "body-too-long"
-    CONFIGURATION = "configuration"
+    CHUNKED_IN_1_0 = "chunked-in-1.0"
     CONNECT = "connect"
     CONNECTIONS = "connections"
     CUT_BODY = "cut-body"
@@ -74,10 +77,10 @@
     HEADER_TOO_LONG = "header-too-long"
     NO_HOST = "no-host"
     OTHER = "other"
-    PEER_FRAME = "peer-frame"
     PROTOCOL = "protocol"
     REPEATED_HEADER = "repeated-header"
-    SLOW = "slow"
+    SLOW_BODY = "slow-body"
+    SLOW_HEADER = "slow-header"
     TOO_MANY_HEADERS = "too-many-headers"
     TWO_BODY_LENGTHS = "two-body-lengths"
     UPGRADE = "upgrade"
@@ -133,7 +136,7 @@
         )
         self._ejections = prometheus_client.Counter(
             "hawthornmast_ejections_total",
-            "Upstreams that this daemon ejected",
+            "Ejections that came into effect on this daemon",
             ["service"],
             registry=self.registry,
         )
--- a/src/hawthornmast/administration/server.py
+++ b/src/hawthornmast/administration/server.py
@@ -211,7 +211,7 @@
 
     def _select(self, *, limit: int, **terms: str) -> list[Facts]:
         return [
-            attrs.asdict(record)
+            _add_age(attrs.asdict(record))
             for record in self._trail.select(limit=limit, **terms)
         ]
 
@@ -232,7 +232,7 @@
                 },
                 status=404,
             )
-        facts = attrs.asdict(record) if record else None
+        facts = _add_age(attrs.asdict(record)) if record else None
         return http.json_response({"request": facts, "audit": actions})
 
     def _answer_explanation(
@@ -250,3 +250,9 @@
             )
         actions = self._select(limit=_DEFAULT_AUDIT_RECORDS, **terms)
         return http.json_response({kind: facts, "audit": actions})
+
+
+def _add_age(facts: Facts) -> Facts:
+    """Add the age, since the event loop's clock has an arbitrary origin."""
+    age_s = round(trio.current_time() - facts["time"], 3)
+    return {**facts, "age_s": age_s}
--- a/src/hawthornmast/audit/trail.py
+++ b/src/hawthornmast/audit/trail.py
@@ -146,6 +146,8 @@
                 record, filter=lambda attribute, value: value not in ("", 0)
             )
             act_name = fields.pop("act")
+            # The log line has a time of its own, by the wall clock.
+            fields.pop("time", None)
             logs.log_event(_LOG, str(act_name), **fields)
         return record
 
