--- a/src/hawthornmast/settings/values.py
+++ b/src/hawthornmast/settings/values.py
@@ -115,7 +115,7 @@
     answer_buffer_bytes
         Bytes of a response that are held before it is streamed.
     max_tickets
-        Tickets that are valid at the same time.
+        Used tickets that are remembered at the same time.
     audit_records
         Automatic actions that are kept for explanations.
     request_records
