--- a/src/hawthornmast/daemon/process.py
+++ b/src/hawthornmast/daemon/process.py
@@ -1,5 +1,6 @@
 """Runs one daemon as a process."""
 
+from collections.abc import AsyncIterator
 import logging
 import signal
 import sys
@@ -57,7 +58,17 @@
         async for number in received:
             log_event(_LOG, "daemon-stopping", signal=number)
             break
-        await daemon.drain()
-        await daemon.close()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_ignore_signals, received)
+            await daemon.drain()
+            await daemon.close()
+            nursery.cancel_scope.cancel()
         log_event(_LOG, "daemon-stopped")
         scope.cancel()
+
+
+async def _ignore_signals(received: AsyncIterator[int]) -> None:
+    # A signal that nobody takes is raised again when the receiver closes,
+    # and would end a process that stopped gracefully with another status.
+    async for number in received:
+        log_event(_LOG, "signal-ignored", signal=number, step="drain")
