Name closed connections and wrong terms in errors

A connection that was closed before a response was reported with the states of the HTTP parser. The command showed an IPv6 address without brackets and the number of the terms instead of the terms.

--- a/src/hawthornmast/cli/inspection.py
+++ b/src/hawthornmast/cli/inspection.py
@@ -77,9 +77,9 @@
         error = fetched.err_value
         output.write_error(
             command,
-            f"no response from {host}:{port} at step {error.step}:"
-            f" {error.detail}; is --admin the administration address of a"
-            " running daemon?",
+            f"no response from {command.option('admin')} at step"
+            f" {error.step}: {error.detail}; is --admin the administration"
+            " address of a running daemon?",
         )
         return 1
     response = fetched.ok_value
@@ -168,7 +168,7 @@
         if len(terms) != len(names):
             output.write_error(
                 self,
-                f"explain {kind} received {len(terms)} terms, allowed:"
+                f"explain {kind} received {' '.join(terms)!r}, allowed:"
                 f" {' '.join(names)}",
             )
             return 1
--- a/src/hawthornmast/http/client.py
+++ b/src/hawthornmast/http/client.py
@@ -124,6 +124,11 @@
             event = connection.next_event()
             if event is h11.NEED_DATA:
                 data = await stream.receive_some(_READ_BYTES)
+                if not data and head is None:
+                    # h11 would name its states instead.
+                    raise h11.RemoteProtocolError(
+                        "connection closed before the response"
+                    )
                 connection.receive_data(bytes(data))
             elif isinstance(event, h11.Response):
                 head = event
--- a/src/hawthornmast/http/tests/test_server.py
+++ b/src/hawthornmast/http/tests/test_server.py
@@ -75,6 +75,19 @@
         error = (await http.fetch("127.0.0.1", port, "GET", "/")).unwrap_err()
         assert (error.step, error.peer) == ("connect", f"127.0.0.1:{port}")
 
+    async def test_closed_connection_is_named(self, nursery):
+        # Guards against log lines that show states of the HTTP parser.
+        async def hang_up(stream):
+            await stream.receive_some(1000)
+
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, hang_up, listeners)
+        port = listeners[0].socket.getsockname()[1]
+        done = await http.fetch("127.0.0.1", port, "GET", "/")
+        expected = "connection closed before the response"
+        assert expected in done.unwrap_err().detail
+        nursery.cancel_scope.cancel()
+
     async def test_timeout_is_an_error(self, nursery):
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         port = listeners[0].socket.getsockname()[1]
