Add the long checks of the seven invariants

`python -m tools.proofs` runs seeded faults on real processes, the cases in which a non-idempotent request might run twice, leaving upstreams, graceful shutdowns, publication under faults and the floor on the virtual clock, each also with a mechanism switched off. Streams between daemons pass relays that hold one direction back. Upstream bodies are determined by the request key, so that a cut or foreign body shows by itself.

Three faults of the tools were found on the way: the client stand-in repeated a GET on a new connection by itself, which hid that the first try may have run; ports of the ephemeral range could be taken before a process started; fleets started at once drew the same ports. Ruled out for the last: slow starts, since the stand-ins' logs ended at the bind.

--- a/standins/client.py
+++ b/standins/client.py
@@ -14,6 +14,8 @@
 from hawthornmast.common import StepError
 from hawthornmast.http import Client
 from hawthornmast.http import Response
+from hawthornmast.http.messages import Headers
+from standins.bodies import is_whole
 
 Address = tuple[str, int]
 
@@ -30,7 +32,7 @@
     NOT_RUN = "not-run"
     UNKNOWN = "unknown"
     WRONG = "wrong"
-    """The answer carries another request's key."""
+    """The answer carries another request's key or a part of its body."""
 
 
 @attrs.frozen(kw_only=True)
@@ -88,15 +90,29 @@
         Zone whose daemons are preferred.
     seed
         Seed of the choice between addresses.
+    keyed
+        Whether upstreams send the bodies of ``standins.bodies``, which are
+        then checked.
+    attempts
+        Most attempts for one request. With one attempt the client reports
+        each refusal of the fleet, so that it can be judged.
     """
 
     def __init__(
-        self, seeds: list[Address], *, zone: str = "", seed: int = 0
+        self,
+        seeds: list[Address],
+        *,
+        zone: str = "",
+        seed: int = 0,
+        keyed: bool = False,
+        attempts: int = ATTEMPTS,
     ) -> None:
         if not seeds:
             raise ValueError("seeds is empty, allowed: one or more addresses")
         self._seeds = seeds
         self._zone = zone
+        self._keyed = keyed
+        self._attempts = attempts
         self._random = random.Random(seed)
         self._lookups: dict[str, _Lookup] = {}
         self._idle: dict[Address, list[Client]] = {}
@@ -128,7 +144,7 @@
         avoid: set[Address] = set()
         attempt = 0
         may_have_run = False
-        for attempt in range(1, ATTEMPTS + 1):
+        for attempt in range(1, self._attempts + 1):
             address = await self._choose(service, avoid)
             if address is None:
                 reason = "no address"
@@ -189,7 +205,7 @@
                 address, method, path, tuple(headers), body, left
             )
             if done.is_ok():
-                return _judge(done.unwrap(), key)
+                return self._judge(done.unwrap(), method, key)
             error = done.unwrap_err()
             self._suspect(address)
             if error.step == "connect" and verdict[0] is Verdict.NOT_RUN:
@@ -207,7 +223,7 @@
         timeout: float,
     ) -> Result[Response, StepError]:
         idle = self._idle.setdefault(address, [])
-        client = idle.pop() if idle else Client(*address)
+        client = idle.pop() if idle else _SingleTryClient(*address)
         done = await client.request(
             method, target, headers=headers, body=body, timeout=timeout
         )
@@ -291,6 +307,28 @@
             )
         return Err(error)
 
+    def _judge(
+        self, response: Response, method: str, key: str
+    ) -> tuple[Verdict, int, str, str]:
+        """Return verdict, status, reason and request id of a response."""
+        outcome = response.header("Hawthornmast-Outcome")
+        reason = response.header("Hawthornmast-Reason") or ""
+        request_id = response.header("Hawthornmast-Request-Id") or ""
+        verdict = Verdict.UNKNOWN
+        if outcome == Outcome.COMPLETE:
+            verdict = Verdict.COMPLETE
+            if response.header(KEY_HEADER) != key:
+                verdict, reason = Verdict.WRONG, "other key"
+            elif (
+                self._keyed
+                and method != "HEAD"
+                and not is_whole(response.body, key)
+            ):
+                verdict, reason = Verdict.WRONG, "cut or foreign body"
+        elif outcome == Outcome.NOT_RUN:
+            verdict = Verdict.NOT_RUN
+        return verdict, response.status, reason, request_id
+
     def _suspect(self, address: Address) -> None:
         self._suspects[address] = trio.current_time() + 5.0
         self._tickets = {
@@ -300,15 +338,20 @@
         }
 
 
-def _judge(response: Response, key: str) -> tuple[Verdict, int, str, str]:
-    """Return verdict, status, reason and request id of a whole response."""
-    outcome = response.header("Hawthornmast-Outcome")
-    reason = response.header("Hawthornmast-Reason") or ""
-    request_id = response.header("Hawthornmast-Request-Id") or ""
-    if outcome == Outcome.COMPLETE:
-        if response.header(KEY_HEADER) != key:
-            return Verdict.WRONG, response.status, "other key", request_id
-        return Verdict.COMPLETE, response.status, reason, request_id
-    if outcome == Outcome.NOT_RUN:
-        return Verdict.NOT_RUN, response.status, reason, request_id
-    return Verdict.UNKNOWN, response.status, reason, request_id
+class _SingleTryClient(Client):
+    """A client that never repeats a request by itself.
+
+    A silent repeat on a new connection would hide that the first try may
+    have run, and the end would look like ``not-run``.
+    """
+
+    async def request(
+        self,
+        method: str,
+        target: str,
+        *,
+        headers: Headers = (),
+        body: bytes = b"",
+        timeout: float = 5.0,
+    ) -> Result[Response, StepError]:
+        return await self._attempt(method, target, headers, body, timeout)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -67,6 +67,7 @@
         self._revision = 0
         self._order: list[tuple[int, str]] = []
         self._frozen: Platform | None = None
+        self._saved: Platform | None = None
         self._changed = trio.Event()
         self._rate = reads_per_s
         self._tokens = reads_per_s
@@ -95,15 +96,25 @@
         """Delete a value and return the revision of the deletion."""
         return self._publish(key, None)
 
-    def set_stale(self, stale: bool) -> None:
-        """Answer from a snapshot of now, or from the newest state again."""
+    def save(self) -> None:
+        """Keep a snapshot of now to answer from later."""
+        snapshot = Platform()
+        snapshot._values = dict(self._values)
+        snapshot._order = list(self._order)
+        snapshot._revision = self._revision
+        self._saved = snapshot
+
+    def set_stale(self, stale: bool, *, saved: bool = False) -> None:
+        """Answer from a snapshot, or from the newest state again.
+
+        The snapshot is the saved one, which may be older than what readers
+        saw since, or one of now.
+        """
         self._frozen = None
         if stale:
-            snapshot = Platform()
-            snapshot._values = dict(self._values)
-            snapshot._order = list(self._order)
-            snapshot._revision = self._revision
-            self._frozen = snapshot
+            if not saved:
+                self.save()
+            self._frozen = self._saved
         self._notify()
 
     def _publish(self, key: str, content: bytes | None) -> int:
@@ -219,7 +230,9 @@
         elif command == "down":
             self.set_down(query.get("on", "1") == "1")
         elif command == "stale":
-            self.set_stale(query.get("on", "1") == "1")
+            self.set_stale(query.get("on", "1") == "1", saved="saved" in query)
+        elif command == "save":
+            self.save()
         elif command == "slow":
             self.delay_s = float(query.get("seconds", "0"))
         elif command != "calls":
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -6,6 +6,7 @@
 import json
 import logging
 import random
+import time
 from typing import Any
 
 import attrs
@@ -13,6 +14,7 @@
 import trio
 
 from hawthornmast import http
+from standins.bodies import make_body
 
 _log = logging.getLogger(__name__)
 _HEALTH_PATHS = {b"/health", b"/load"}
@@ -35,7 +37,10 @@
     shed_all, certified
         Shed each request; say by header that it was not run.
     leaving
-        Announce in responses that the upstream leaves.
+        Announce in responses and by the health endpoint that the upstream
+        leaves.
+    leaving_health
+        Announce it by the health endpoint only.
     mute
         Read requests and never answer (one-way partition).
     run_muted
@@ -62,6 +67,9 @@
         Pairs added to each answer.
     body_bytes
         Length to which an answer's body is filled up.
+    keyed_bytes
+        When not 0, the body is the one that the request key determines, of
+        up to this length.
     chunked
         Send complete answers in chunks.
     health, load
@@ -76,6 +84,7 @@
     shed_all: bool = False
     certified: bool = True
     leaving: bool = False
+    leaving_health: bool = False
     mute: bool = False
     run_muted: bool = True
     cut: str = ""
@@ -88,6 +97,7 @@
     status: int = 200
     extra_headers: list[list[str]] = attrs.Factory(list)
     body_bytes: int = 0
+    keyed_bytes: int = 0
     chunked: bool = False
     health: int | None = None
     load: float | None = None
@@ -242,7 +252,8 @@
         faults = self.faults
         load = self.busy / self._slots if faults.load is None else faults.load
         status = 200 if faults.health is None else faults.health
-        text = json.dumps({"load": load, "leaving": faults.leaving}).encode()
+        leaving = faults.leaving or faults.leaving_health
+        text = json.dumps({"load": load, "leaving": leaving}).encode()
         return await self._send(
             stream, connection, request, status, [], text, Faults()
         )
@@ -301,6 +312,8 @@
             status = 500
         text = f"key={key} method={run.method} length={len(body)}\n".encode()
         text = text.ljust(faults.body_bytes, b".")
+        if faults.keyed_bytes:
+            text = make_body(key, faults.keyed_bytes)
         previous, self._previous = self._previous, (headers, text)
         if faults.crossed and previous is not None:
             headers, text = previous
@@ -407,6 +420,7 @@
         service_s=options.service_ms / 1000,
         cold_s=options.cold_s,
         error_rate=options.error_rate,
+        keyed_bytes=options.keyed_bytes,
     )
     standin = UpstreamStandIn(
         slots=options.slots,
@@ -414,6 +428,8 @@
         faults=faults,
         seed=options.seed,
         max_log=options.max_log,
+        # One clock for all processes, so that their logs can be compared.
+        clock=time.monotonic,
     )
     serve = functools.partial(
         http.serve_connection, handler=standin.handle_control
@@ -442,6 +458,7 @@
     parser.add_argument("--service-ms", type=float, default=0.0)
     parser.add_argument("--cold-s", type=float, default=0.0)
     parser.add_argument("--error-rate", type=float, default=0.0)
+    parser.add_argument("--keyed-bytes", type=int, default=0)
     parser.add_argument("--seed", type=int, default=0)
     parser.add_argument("--max-log", type=int, default=1_000_000)
     trio.run(run_process, parser.parse_args())
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -1,5 +1,8 @@
 """A deployment as processes on loopback: platform, upstreams, daemons."""
 
+from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Iterator
 import json
 import pathlib
 import signal
@@ -66,6 +69,13 @@
         Milliseconds that an upstream needs for a request.
     drain_grace_ms
         Grace period of each daemon.
+    keyed_bytes
+        Largest body of the upstreams' answers when keys determine them; 0
+        for short fixed ones.
+    linked
+        Whether streams between daemons pass a relay that can cut them.
+    command
+        Module and arguments that start a daemon with a settings file.
     """
 
     def __init__(
@@ -77,6 +87,9 @@
         daemons: int = 6,
         service_ms: float = 5.0,
         drain_grace_ms: int = 5000,
+        keyed_bytes: int = 0,
+        linked: bool = False,
+        command: tuple[str, ...] = ("hawthornmast.cli", "daemon"),
     ) -> None:
         self.deployment = deployment
         self.members: list[Member] = []
@@ -86,6 +99,10 @@
         self._count = daemons
         self._service_ms = service_ms
         self._drain_grace_ms = drain_grace_ms
+        self._keyed_bytes = keyed_bytes
+        self._linked = linked
+        self._link_control = 0
+        self._command = command
         self.platform_port = 0
         self._platform_control = 0
 
@@ -93,8 +110,8 @@
         """Start all processes and wait until each daemon serves."""
         ports = iter(
             choose_ports(
-                2
-                + 3 * self._count
+                3
+                + (3 + self._linked) * self._count
                 + 2 * sum(self.deployment.upstreams.values())
             )
         )
@@ -113,6 +130,8 @@
                 self._start_backend(service, number, next(ports), next(ports))
         for number in range(self._count):
             self._add_member(number, next(ports), next(ports), next(ports))
+        if self._linked:
+            await self._start_relays(next(ports), ports)
         await self.publish_all()
         for member in self.members:
             self.start_member(member)
@@ -146,6 +165,8 @@
             str(upstream.connections),
             "--service-ms",
             str(self._service_ms),
+            "--keyed-bytes",
+            str(self._keyed_bytes),
             "--seed",
             str(number),
         )
@@ -196,12 +217,41 @@
             encoding="utf-8",
         )
 
+    async def _start_relays(
+        self, control_port: int, ports: Iterator[int]
+    ) -> None:
+        """Publish relay ports as the daemons' peer ports."""
+        relays = []
+        for member in self.members:
+            instance = member.instance
+            port = next(ports)
+            relays.append(
+                f"{instance.instance_id}={port}={instance.peer_port}"
+            )
+            member.instance = attrs.evolve(instance, peer_port=port)
+        self._link_control = control_port
+        self._group.start(
+            f"{self.deployment.name}-link",
+            "standins.link",
+            "--control-port",
+            str(control_port),
+            *relays,
+        )
+        await self._wait_for(control_port, "/cuts")
+
+    async def cut(self, pairs: Iterable[tuple[str, str]]) -> None:
+        """Hold back exactly these directions between daemons."""
+        body = json.dumps(sorted(pairs)).encode()
+        done = await fetch(
+            HOST, self._link_control, "POST", "/cuts", body=body
+        )
+        assert done.unwrap().status == 200, done.unwrap().body
+
     def start_member(self, member: Member) -> None:
         """Start the process of a daemon, again if it ended before."""
         member.process = self._group.start(
             member.instance.instance_id,
-            "hawthornmast.cli",
-            "daemon",
+            *self._command,
             str(member.settings),
         )
 
@@ -229,29 +279,42 @@
         """Publish the catalogue and all lists."""
         await self._wait_for(self._platform_control, "/control/calls")
         for service in self.deployment.upstreams:
-            document = ROOT / "examples" / self.deployment.name
-            text = (document / f"{service}.toml").read_text(encoding="utf-8")
-            await self.publish(f"catalogue/services/{service}", text)
+            await self.publish_document(service)
             await self.publish_upstreams(service)
         await self.publish_daemons()
 
+    def read_document(self, service: str) -> str:
+        """Return the catalogue document of a service."""
+        folder = ROOT / "examples" / self.deployment.name
+        return (folder / f"{service}.toml").read_text(encoding="utf-8")
+
+    async def publish_document(self, service: str, suffix: str = "") -> int:
+        """Publish a service's document with text added at its end."""
+        text = self.read_document(service) + suffix
+        return await self.publish(f"catalogue/services/{service}", text)
+
     async def publish_upstreams(
-        self, service: str, *, leaving: tuple[str, ...] = ()
+        self,
+        service: str,
+        *,
+        leaving: Collection[str] = (),
+        gone: Collection[str] = (),
     ) -> None:
-        """Publish the list of a service's upstreams."""
+        """Publish the list of a service's upstreams without those gone."""
         listed = [
             attrs.evolve(backend.upstream, state=State.LEAVING)
             if backend.upstream.upstream_id in leaving
             else backend.upstream
             for backend in self.backends
             if backend.service == service
+            and backend.upstream.upstream_id not in gone
         ]
         await self.publish(
             f"instances/upstreams/{service}",
             json.dumps([attrs.asdict(item) for item in listed]),
         )
 
-    async def publish_daemons(self, *, gone: tuple[str, ...] = ()) -> None:
+    async def publish_daemons(self, *, gone: Collection[str] = ()) -> None:
         """Publish the list of daemons without those that are gone."""
         listed = [
             attrs.asdict(member.instance)
--- a/tools/judge.py
+++ b/tools/judge.py
@@ -27,6 +27,10 @@
         Keys that ran though their client was told that they did not.
     lost
         Keys of complete requests that no upstream executed.
+    wrong_keys
+        Keys whose client received another answer than its own, or a part.
+    ordered, ordered_unknown
+        Non-idempotent requests, and those of them that ended unknown.
     """
 
     requests: int
@@ -37,6 +41,9 @@
     doubled: tuple[str, ...] = ()
     ran_though_refused: tuple[str, ...] = ()
     lost: tuple[str, ...] = ()
+    wrong_keys: tuple[str, ...] = ()
+    ordered: int = 0
+    ordered_unknown: int = 0
 
     @property
     def violations(self) -> int:
@@ -77,4 +84,12 @@
             for call in listed
             if call.verdict is Verdict.COMPLETE and not counts[call.key]
         ),
+        wrong_keys=tuple(
+            call.key for call in listed if call.verdict is Verdict.WRONG
+        ),
+        ordered=sum(not call.idempotent for call in listed),
+        ordered_unknown=sum(
+            not call.idempotent and call.verdict is Verdict.UNKNOWN
+            for call in listed
+        ),
     )
--- a/tools/load.py
+++ b/tools/load.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from standins.client import ATTEMPTS
 from standins.client import CallRecord
 from standins.client import FleetClient
 from tools.deployments import Work
@@ -24,17 +25,44 @@
         Requests per second.
     seed
         Seed of the choice of work.
+    name
+        Start of the request keys, which are unique among the runs of a
+        fleet.
+    timeout
+        Seconds after which clients give up.
+    keyed
+        Whether clients check that the request's key determined the body.
+    single
+        Whether half of the clients report a refusal without another attempt.
     """
 
-    def __init__(self, fleet: Fleet, *, rate: float, seed: int) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        *,
+        rate: float,
+        seed: int,
+        name: str = "",
+        timeout: float = 10.0,
+        keyed: bool = False,
+        single: bool = False,
+    ) -> None:
         self._fleet = fleet
         self._rate = rate
+        self._name = name or fleet.deployment.name
+        self._timeout = timeout
         self._random = random.Random(seed)
         self._numbers = itertools.count()
         self.calls: list[CallRecord] = []
         seeds = [(m.instance.host, m.instance.port) for m in fleet.members]
         self._clients = [
-            FleetClient(seeds, zone=zone, seed=seed + number)
+            FleetClient(
+                seeds,
+                zone=zone,
+                seed=seed + number,
+                keyed=keyed,
+                attempts=1 if single and number % 2 else ATTEMPTS,
+            )
             for number, zone in enumerate(
                 fleet.deployment.zones * CLIENTS_PER_ZONE
             )
@@ -64,8 +92,9 @@
             kind.method,
             f"{kind.path}/{number}",
             service=kind.service,
-            key=f"{self._fleet.deployment.name}-{number}",
+            key=f"{self._name}-{number}",
             idempotent=kind.idempotent,
             body=b"x" * 200 if kind.method in ("POST", "PUT") else b"",
+            timeout=self._timeout,
         )
         self.calls.append(call)
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -13,20 +14,48 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
 STOP_S = 10.0
+PORTS = (10_000, 32_000)
+PORT_BLOCK = 100
+_spare_ports: list[int] = []
+_block_locks: list[socket.socket] = []
 
 
 def choose_ports(count: int) -> list[int]:
-    """Return ports that were free at the same moment."""
-    sockets = []
-    try:
-        for _ in range(count):
-            opened = socket.socket()
-            sockets.append(opened)
-            opened.bind((HOST, 0))
-        return [opened.getsockname()[1] for opened in sockets]
-    finally:
-        for opened in sockets:
-            opened.close()
+    """Return ports that are free and that no other fleet is given.
+
+    They lie below the range from which the system takes the ports of
+    outgoing connections: such a connection could take the port of a process
+    that is about to start, or of a killed one before it starts again. The
+    first port of each block stays bound in this process, so that runs at the
+    same time take different blocks.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        if not _spare_ports:
+            _spare_ports.extend(_take_block())
+        port = _spare_ports.pop()
+        with socket.socket() as opened:
+            try:
+                opened.bind((HOST, port))
+            except OSError:
+                continue
+        ports.append(port)
+    return ports
+
+
+def _take_block() -> range:
+    starts = list(range(*PORTS, PORT_BLOCK))
+    random.shuffle(starts)
+    for start in starts:
+        lock = socket.socket()
+        try:
+            lock.bind((HOST, start))
+        except OSError:
+            lock.close()
+            continue
+        _block_locks.append(lock)
+        return range(start + 1, start + PORT_BLOCK)
+    raise OSError(f"no block of ports is free in {PORTS}")
 
 
 @attrs.define(kw_only=True, eq=False)
--- /dev/null
+++ b/tools/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Long checks of the seven invariants, run by ``make proofs``."""
--- /dev/null
+++ b/tools/proofs/defects.py
@@ -0,0 +1,141 @@
+"""Runs a daemon without one mechanism, to show that a check sees it.
+
+``python -m tools.proofs.defects NAME SETTINGS``
+"""
+
+from collections.abc import Callable
+import sys
+from typing import Any
+
+import attrs
+
+from hawthornmast import settings
+from hawthornmast.common import Outcome
+from hawthornmast.configuration.store import ConfigurationStore
+from hawthornmast.daemon import member
+from hawthornmast.daemon import run_daemon
+from hawthornmast.daemon import runtime
+from hawthornmast.forwarding import forwarder
+from hawthornmast.forwarding import tickets
+
+
+def _pass_crossed_answers() -> None:
+    """Don't compare the request identifier of an answer."""
+    _replace(forwarder, "_is_own", lambda exchange, request: True)
+
+
+def _report_unknown_as_not_run() -> None:
+    """Tell clients ``not-run`` after the first byte was written."""
+    refuse = forwarder.refuse
+
+    def refuse_always(*arguments: Any, **options: Any) -> Any:
+        if options.get("outcome") is Outcome.UNKNOWN:
+            options["outcome"] = Outcome.NOT_RUN
+        return refuse(*arguments, **options)
+
+    _replace(forwarder, "refuse", refuse_always)
+
+
+def _forget_tickets() -> None:
+    """Run a ticket again when it arrives again."""
+    redeem = tickets.TicketBook.redeem
+
+    def redeem_again(self: Any, *arguments: Any) -> Any:
+        used = redeem(self, *arguments)
+        if isinstance(used, tickets.Repeat):
+            return tickets.FirstUse(attrs.evolve(used.record))
+        return used
+
+    _replace(tickets.TicketBook, "redeem", redeem_again)
+
+
+def _repeat_after_write() -> None:
+    """Try another upstream after the first byte, also for tickets."""
+    after_error = forwarder.Forwarder._after_error
+
+    def try_again(
+        self: Any,
+        error: Any,
+        upstream: Any,
+        progress: Any,
+        runtime: Any,
+        entry: Any,
+        attempts: Any,
+    ) -> Any:
+        entry = attrs.evolve(entry, idempotent=True)
+        return after_error(
+            self, error, upstream, progress, runtime, entry, attempts
+        )
+
+    _replace(forwarder.Forwarder, "_after_error", try_again)
+
+
+def _ignore_leaving() -> None:
+    """Keep using upstreams that announce that they leave."""
+
+    def mark_leaving(*arguments: Any, **options: Any) -> bool:
+        return False
+
+    _replace(runtime.Runtime, "mark_leaving", mark_leaving)
+
+
+def _ignore_leaving_list() -> None:
+    """Treat upstreams that are listed as leaving like live ones."""
+    update = runtime.Runtime.update_lists
+
+    def update_lists(
+        self: Any, upstreams: Any, group: Any, **options: Any
+    ) -> None:
+        live = [attrs.evolve(u, state="live") for u in upstreams]
+        update(self, live, group, **options)
+
+    _replace(runtime.Runtime, "update_lists", update_lists)
+
+
+def _stop_at_once() -> None:
+    """End on SIGTERM without waiting for the requests in flight."""
+
+    async def drain(self: Any) -> None:
+        self._leaving = True
+
+    _replace(member.Daemon, "drain", drain)
+
+
+def _accept_older() -> None:
+    """Accept a document of any revision other than the one in force."""
+
+    def is_wanted(
+        self: Any, key: str, revision: int, digest: bytes, *, keep: bool
+    ) -> bool:
+        return bool(self.entry(key) != (revision, digest))
+
+    _replace(ConfigurationStore, "is_wanted", is_wanted)
+
+
+def _replace(place: Any, name: str, value: Any) -> None:
+    # A name that no longer exists must not turn a control into a plain run.
+    getattr(place, name)
+    setattr(place, name, value)
+
+
+DEFECTS: dict[str, Callable[[], None]] = {
+    "pass-crossed-answers": _pass_crossed_answers,
+    "report-unknown-as-not-run": _report_unknown_as_not_run,
+    "forget-tickets": _forget_tickets,
+    "repeat-after-write": _repeat_after_write,
+    "ignore-leaving": _ignore_leaving,
+    "ignore-leaving-list": _ignore_leaving_list,
+    "stop-at-once": _stop_at_once,
+    "accept-older": _accept_older,
+}
+
+
+def main() -> int:
+    """Switch one mechanism off and run the daemon."""
+    name, path = sys.argv[1:]
+    DEFECTS[name]()
+    return run_daemon(settings.load_settings(path).unwrap())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
