Keep idle client connections open during the grace time of a shutdown

A graceful shutdown closed idle client connections at its first moment. A client that wrote a request on such a connection at the same time lost it: the daemon closed the socket with the request unread, and the client could not tell whether it ran.

Ruled out: the end of the grace time (the requests failed within the second of the signal) and requests that were running (each had reached no upstream's answer; those in flight at the signal all completed). Requests with tickets were not affected, because their clients send the ticket again.

Idle connections now stay open for the grace time; each answer on them says `Connection: close`, and those still idle at its end are closed then, when clients no longer hold the address. The new test failed first. The former test expected the idle connection to close before `finish`; it now expects that at the end of `finish`, within the same 3 s.

--- a/src/hawthornmast/forwarding/server.py
+++ b/src/hawthornmast/forwarding/server.py
@@ -132,12 +132,15 @@
         nursery.start_soon(self._serve)
 
     def begin_drain(self) -> None:
-        """Answer with ``Connection: close`` and close idle connections.
+        """Answer with ``Connection: close`` from now on.
 
-        New connections are still accepted, because clients hold this
-        daemon's address for a while.
+        New connections are still accepted, and idle ones stay open, because
+        clients hold this daemon's address for a while. A connection that is
+        closed as its client writes a request would lose that request.
         """
         self.closing = True
+
+    def _close_idle(self) -> None:
         poller = select.poll()
         idle = {}
         for connection in self._connections:
@@ -155,15 +158,14 @@
 
         Nothing is cut; every request ends by its entry's deadline.
         """
-        if not self.closing:
-            self.begin_drain()
+        self.begin_drain()
         await trio.sleep(grace)
         self._accepting.cancel()
         await self._accepted.wait()
-        self.begin_drain()
+        self._close_idle()
         while self._connections:
             await trio.sleep(0.01)
-            self.begin_drain()
+            self._close_idle()
         await self.close()
 
     async def close(self) -> None:
--- a/src/hawthornmast/forwarding/tests/test_server.py
+++ b/src/hawthornmast/forwarding/tests/test_server.py
@@ -169,9 +169,24 @@
                 nursery.start_soon(call)
                 await trio.sleep(0.1)
                 fleet.server.begin_drain()
-                assert await idle.receive_some(1) == b""
-                await idle.aclose()
                 with trio.fail_after(3):
                     await fleet.server.finish(0.05)
+                assert await idle.receive_some(1) == b""
+                await idle.aclose()
             assert outcome(answers[0]) == (200, "complete", None)
             assert answers[0].header("Connection") == "close"
+
+    async def test_kept_connections_are_served_during_the_grace_time(self):
+        # Guards against a request that is lost because its kept connection
+        # was closed as the client wrote it.
+        async with run_fleet() as fleet:
+            client = http.Client("127.0.0.1", fleet.port)
+            host = (("Host", "billing"),)
+            first = await client.request("PUT", "/read", headers=host)
+            assert first.unwrap().header("Connection") is None
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fleet.server.finish, 0.2)
+                await trio.sleep(0.05)
+                second = await client.request("PUT", "/read", headers=host)
+                assert second.unwrap().status == 200
+                assert second.unwrap().header("Connection") == "close"
