--- /dev/null
+++ b/benchmarks/capacity_target.py
@@ -0,0 +1,50 @@
+"""Sizes of the target and its budgets, from sections 1.3 and 1.4."""
+
+DAEMONS = 7200
+ZONES = 16
+SERVICES = 5000
+UPSTREAMS = 94_000
+ROUTES = 150_000
+REQUESTS_PER_S = 1_500_000
+CHANGES_PER_S = 23_000 / 86_400
+RESTARTS_PER_S = 15_000 / 86_400
+LIST_CHANGES_PER_S = 2 * RESTARTS_PER_S
+"""A restarted instance leaves the list and returns to it."""
+
+SERVICE_ZONES = 16
+"""Zones in which a service has owners: every zone of the list."""
+
+GROUP = SERVICE_ZONES
+"""Members of an owner group with one owner in each zone."""
+
+OWNED = round(SERVICES * SERVICE_ZONES / DAEMONS)
+"""Services that one daemon owns."""
+
+GROUP_PEERS = OWNED * (GROUP - 1)
+"""Other members of all groups of one daemon, if none is in two of them."""
+
+UPSTREAMS_EACH = round(UPSTREAMS / SERVICES)
+ROUTES_EACH = round(ROUTES / SERVICES)
+REQUESTS_EACH = REQUESTS_PER_S / SERVICES / GROUP
+"""Requests per second of one service on one of its owners."""
+
+KEYS = 2 * SERVICES + 1
+READERS = 2 * ZONES
+NEIGHBOURS = 21
+"""Ring of 450 with chords at powers of four, and one per other zone."""
+
+ANNOUNCES = 2 * NEIGHBOURS
+"""Frames of one change that a daemon sends and receives."""
+
+ANNOUNCE_BYTES = 100
+"""A frame with one key of 40 characters, its revision and digest."""
+
+ANNOUNCE_CPU_S = 0.0001
+"""One frame: HMAC, msgpack and a system call."""
+
+CPU_BUDGET = 0.017
+RSS_BUDGET = 256e6
+BYTES_BUDGET = 5000
+PLATFORM_BUDGET = 200
+IN_FORCE_BUDGET_S = 10
+FLEET_CHANGES_PER_S = 3
--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,490 @@
+"""Control cost of one daemon, measured in this process.
+
+Each function measures one size and returns CPU seconds by
+``time.process_time``, bytes of resident memory, or bytes sent. No function
+reads wall time, so that other load on the machine matters little.
+"""
+
+from collections.abc import Iterator
+import contextlib
+import gc
+import hashlib
+import json
+import logging
+import pathlib
+import random
+import time
+from typing import Any
+
+import attrs
+import trio
+import trio.testing
+
+from hawthornmast.audit import AuditTrail
+from hawthornmast.catalogue import parse_service
+from hawthornmast.common import Instance
+from hawthornmast.common import Upstream
+from hawthornmast.configuration import ConfigurationStore
+from hawthornmast.daemon import Daemon
+from hawthornmast.daemon.runtime import Links
+from hawthornmast.daemon.runtime import Runtime
+from hawthornmast.health import Evidence
+from hawthornmast.health import MESSAGE_TYPES as HEALTH_MESSAGES
+from hawthornmast.limits import SlotDemand
+from hawthornmast.limits import SlotGrant
+from hawthornmast.membership import neighbours_of
+from hawthornmast.peers import MessageCodec
+from hawthornmast.peers import PeerNetwork
+from hawthornmast.settings import parse_settings
+from standins.fleet import make_instances
+from standins.platform import Platform
+from standins.platform import serve
+from tools.processes import choose_ports
+from tools.processes import HOST
+
+SECRET = "capacity-secret-on-loopback"
+FRAME_BYTES = 20
+"""Length and authentication code around each message."""
+
+TICK_S = 0.1
+_PAGE_BYTES = 4096
+
+
+def read_rss() -> int:
+    """Return the resident memory of this process in bytes."""
+    gc.collect()
+    text = pathlib.Path("/proc/self/statm").read_text(encoding="ascii")
+    return int(text.split()[1]) * _PAGE_BYTES
+
+
+def format_service(name: str, *, routes: int = 30, **keys: Any) -> str:
+    """Return a catalogue document with a number of entries."""
+    lines = [f'name = "{name}"', 'owner = "team"', "floor = 0.7"]
+    lines += [f"{key} = {json.dumps(value)}" for key, value in keys.items()]
+    for number in range(routes):
+        lines += [
+            "[[entry]]",
+            f'name = "entry-{number}"',
+            f'owner = "team-{number}"',
+            'rank = "standard"',
+            'methods = ["GET"]',
+            f'path = "/entry-{number}"',
+            f"share = {1 / max(routes, 1):.4f}",
+            "queue_limit = 64",
+            "deadline_ms = 2000",
+        ]
+    return "\n".join(lines) + "\n"
+
+
+def make_upstreams(count: int) -> list[Upstream]:
+    """Return upstreams of 4 slots in three zones."""
+    return [
+        Upstream(
+            upstream_id=f"upstream-{number}",
+            zone=f"z{number % 3}",
+            host=HOST,
+            port=1,
+            slots=4,
+        )
+        for number in range(count)
+    ]
+
+
+class _RuntimeGroup:
+    """The members of one owner group, joined in this process."""
+
+    def __init__(
+        self, name: str, members: int, upstreams: int, routes: int
+    ) -> None:
+        self.bytes = 0
+        self.messages = 0
+        self._codec = MessageCodec(SlotDemand, SlotGrant, *HEALTH_MESSAGES)
+        text = format_service(name, routes=routes)
+        service = parse_service(text, source=name).unwrap()
+        instances = make_instances(members, 3)
+        self.runtimes = {
+            item.instance_id: Runtime(service, links=self._link(item))
+            for item in instances
+        }
+        listed = make_upstreams(upstreams)
+        for runtime in self.runtimes.values():
+            runtime.update_lists(listed, list(self.runtimes), view="1")
+
+    def _link(self, instance: Instance) -> Links:
+        def post(peer: str, message: Any) -> bool:
+            # A real member encodes and decodes each message as well.
+            body = self._codec.encode(message)
+            self.bytes += len(body) + FRAME_BYTES
+            self.messages += 1
+            received = self._codec.decode(body).unwrap()
+            runtime = self.runtimes[peer]
+            if isinstance(received, SlotDemand | SlotGrant):
+                runtime.allocator.handle(received, instance.instance_id)
+            else:
+                runtime.monitor.handle(received, instance.instance_id)
+            return True
+
+        return Links(
+            instance=instance,
+            post=post,
+            reachable=lambda peer: True,
+            audit=AuditTrail(capacity=100),
+            random=random.Random(instance.instance_id),
+        )
+
+
+@attrs.frozen(kw_only=True)
+class RuntimeCost:
+    """Cost of one member for its owned services, per second."""
+
+    cpu: float
+    rss: float
+    sent: float
+    messages: float
+
+
+def measure_runtimes(
+    *,
+    services: int = 2,
+    upstreams: int = 19,
+    routes: int = 30,
+    members: int = 3,
+    requests_per_s: float = 0.0,
+    seconds: float = 5.0,
+    seed: int = 1,
+) -> RuntimeCost:
+    """Measure the health and slot division of owned services."""
+
+    async def run() -> RuntimeCost:
+        clock = trio.lowlevel.current_clock()
+        assert isinstance(clock, trio.testing.MockClock)
+        before = read_rss()
+        groups = [
+            _RuntimeGroup(f"service-{n}", members, upstreams, routes)
+            for n in range(services)
+        ]
+        rss = read_rss() - before
+        _tick(groups, clock, 30, 0, seed)
+        for group in groups:
+            group.bytes = group.messages = 0
+        started = time.process_time()
+        ticks = round(seconds / TICK_S)
+        _tick(groups, clock, ticks, requests_per_s, seed)
+        cpu = time.process_time() - started
+        return RuntimeCost(
+            cpu=cpu / members / seconds,
+            rss=rss / members,
+            sent=sum(group.bytes for group in groups) / members / seconds,
+            messages=sum(g.messages for g in groups) / members / seconds,
+        )
+
+    clock = trio.testing.MockClock()
+    return trio.run(run, clock=clock)
+
+
+def _tick(
+    groups: list[_RuntimeGroup],
+    clock: trio.testing.MockClock,
+    ticks: int,
+    requests_per_s: float,
+    seed: int,
+) -> None:
+    chosen = random.Random(seed)
+    per_tick = requests_per_s * TICK_S
+    for _ in range(ticks):
+        clock.jump(TICK_S)
+        for group in groups:
+            for runtime in group.runtimes.values():
+                for _ in range(int(per_tick + chosen.random())):
+                    upstream = chosen.choice(runtime.upstreams)
+                    attempt = runtime.begin(upstream.upstream_id, "entry-0")
+                    runtime.finish(attempt, Evidence.OK)
+                runtime.tick()
+
+
+@attrs.frozen(kw_only=True)
+class LinkCost:
+    """Cost of one idle peer on one side, per second."""
+
+    cpu: float
+    rss: float
+    sent: float
+
+
+def measure_links(*, peers: int, seconds: float = 4.0) -> LinkCost:
+    """Measure a daemon with idle streams to a number of peers.
+
+    Both ends run in this process; each is charged half of the cost.
+    """
+
+    async def run() -> LinkCost:
+        ports = choose_ports(peers + 1)
+        instances = [
+            Instance(
+                instance_id=f"d{number}",
+                zone="z0",
+                host=HOST,
+                port=1,
+                peer_port=port,
+            )
+            for number, port in enumerate(ports)
+        ]
+        networks = [
+            PeerNetwork(instance=item, incarnation=n, secrets=(SECRET,))
+            for n, item in enumerate(instances)
+        ]
+        before = read_rss()
+        async with trio.open_nursery() as nursery:
+            for network in networks:
+                await network.start(nursery)
+            for network in networks[1:]:
+                # Group members dial each other.
+                network.set_neighbours(instances[:1])
+                networks[0].set_neighbours(instances[1:])
+            with trio.fail_after(30):
+                while len(networks[0].connected()) < peers:
+                    await trio.sleep(0.1)
+            await trio.sleep(2)
+            rss = read_rss() - before
+            sent = networks[0].count_bytes()[0]
+            started = time.process_time()
+            began = trio.current_time()
+            await trio.sleep(seconds)
+            passed = trio.current_time() - began
+            cpu = time.process_time() - started
+            sent = networks[0].count_bytes()[0] - sent
+            nursery.cancel_scope.cancel()
+        return LinkCost(cpu=cpu / 2 / passed, rss=rss / 2, sent=sent / passed)
+
+    return trio.run(run)
+
+
+@attrs.frozen(kw_only=True)
+class StoreCost:
+    """Cost of an index of keys."""
+
+    rss: float
+    change_cpu: float
+    repair_cpu: float
+
+
+def measure_store(*, keys: int, rounds: int = 20) -> StoreCost:
+    """Measure the index: memory, one more entry, one repair exchange."""
+    before = read_rss()
+    store = ConfigurationStore(
+        validate=lambda key, text: parse_service("", source=key),
+        on_accepted=lambda key, revision, text: None,
+        audit=AuditTrail(capacity=100, clock=time.monotonic),
+    )
+    for number in range(keys):
+        digest = hashlib.md5(str(number).encode()).digest()
+        store.note(f"catalogue/services/service-{number}", number + 1, digest)
+    rss = read_rss() - before
+    started = time.process_time()
+    for number in range(rounds):
+        revision = keys + number + 1
+        store.note("catalogue/services/service-0", revision, b"0" * 16)
+        assert store.highest_revision == revision
+    change = (time.process_time() - started) / rounds
+    started = time.process_time()
+    for _ in range(rounds):
+        assert store.digest
+    repair = (time.process_time() - started) / rounds
+    return StoreCost(rss=rss, change_cpu=change, repair_cpu=repair)
+
+
+def make_daemon_settings(
+    ports: list[int], *, zone: str, platform_port: int
+) -> str:
+    """Return the settings of daemon d0 on loopback."""
+    return f"""\
+[instance]
+id = "d0"
+zone = "{zone}"
+host = "{HOST}"
+port = {ports[0]}
+peer_port = {ports[1]}
+admin_port = {ports[2]}
+
+[platform]
+host = "{HOST}"
+port = {platform_port}
+
+[peers]
+secrets = ["{SECRET}"]
+"""
+
+
+def format_list(instances: list[Instance]) -> str:
+    """Return a published list of daemons with realistic addresses."""
+    return json.dumps(
+        [
+            attrs.asdict(item)
+            | {"host": f"127.{n // 60000 + 1}.{n // 250 % 250}.{n % 250 + 1}"}
+            for n, item in enumerate(instances)
+        ]
+    )
+
+
+@attrs.frozen(kw_only=True)
+class ListCost:
+    """Cost of the lists on a daemon of a large fleet.
+
+    Attributes
+    ----------
+    first_cpu
+        CPU seconds to apply the lists and documents at start-up.
+    change_cpu
+        CPU seconds for one restart in the list, mean over ``rounds``.
+    change_bytes
+        Bytes of the documents that one restart makes the daemon fetch.
+    rss
+        Resident memory that lists and documents added.
+    held
+        Documents held.
+    owned
+        Services owned.
+    """
+
+    first_cpu: float
+    change_cpu: float
+    change_bytes: float
+    rss: float
+    held: int
+    owned: int
+
+
+def measure_lists(
+    *, daemons: int, services: int, zones: int = 16, rounds: int = 4
+) -> ListCost:
+    """Measure a started daemon that learns a fleet and its restarts.
+
+    The peers in the list don't exist; dialing them isn't counted, because
+    only the application of the accepted documents is.
+    """
+
+    async def run() -> ListCost:
+        ports = choose_ports(4)
+        text = make_daemon_settings(
+            ports[:3], zone="z0", platform_port=ports[3]
+        )
+        daemon = Daemon(parse_settings(text, source="-").unwrap())
+        platform = Platform()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve, platform, HOST, ports[3], None)
+            await daemon.start(nursery)
+            cost = _apply_lists(daemon, daemons, services, zones, rounds)
+            nursery.cancel_scope.cancel()
+        return cost
+
+    with _quiet_logs():
+        return trio.run(run)
+
+
+def _apply_lists(
+    daemon: Daemon, daemons: int, services: int, zones: int, rounds: int
+) -> ListCost:
+    """Apply a fleet's lists to a daemon, then restarts of one instance."""
+    instances = make_instances(daemons, zones)
+    before = read_rss()
+    started = time.process_time()
+    revision = 1
+    daemon.store.accept(
+        "instances/daemons",
+        revision,
+        format_list(instances).encode(),
+        keep=True,
+    )
+    held = 0
+    for number in range(services):
+        name = f"service-{number}"
+        revision += 2
+        documents = {
+            f"catalogue/services/{name}": format_service(name, routes=3),
+            f"instances/upstreams/{name}": json.dumps(
+                [attrs.asdict(item) for item in make_upstreams(19)]
+            ),
+        }
+        for key, text in documents.items():
+            revision += 1
+            keep = daemon.is_needed(key)
+            held += keep
+            digest = hashlib.md5(text.encode()).digest()
+            if keep:
+                daemon.store.accept(key, revision, text.encode(), keep=True)
+            else:
+                daemon.store.note(key, revision, digest)
+    first = time.process_time() - started
+    rss = read_rss() - before
+    changes = []
+    size = 0
+    for number in range(rounds):
+        gone = instances[1 + number]
+        for listed in ([i for i in instances if i != gone], instances):
+            content = format_list(listed).encode()
+            size += len(content)
+            revision += 1
+            started = time.process_time()
+            daemon.store.accept(
+                "instances/daemons", revision, content, keep=True
+            )
+            changes.append(time.process_time() - started)
+    return ListCost(
+        first_cpu=first,
+        change_cpu=2 * sum(changes) / len(changes),
+        change_bytes=size / rounds,
+        rss=rss,
+        held=held,
+        owned=len(list(daemon.services)),
+    )
+
+
+@attrs.frozen(kw_only=True)
+class BaseCost:
+    """Cost of a daemon without peers and services."""
+
+    cpu: float
+    rss: float
+
+
+def measure_base(*, seconds: float = 5.0) -> BaseCost:
+    """Measure an idle daemon that runs alone with the platform."""
+
+    async def run() -> BaseCost:
+        ports = choose_ports(4)
+        text = make_daemon_settings(
+            ports[:3], zone="z0", platform_port=ports[3]
+        )
+        daemon = Daemon(parse_settings(text, source="-").unwrap())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve, Platform(), HOST, ports[3], None)
+            await daemon.start(nursery)
+            await trio.sleep(1)
+            started = time.process_time()
+            began = trio.current_time()
+            await trio.sleep(seconds)
+            cpu = time.process_time() - started
+            passed = trio.current_time() - began
+            nursery.cancel_scope.cancel()
+        return BaseCost(cpu=cpu / passed, rss=read_rss())
+
+    with _quiet_logs():
+        return trio.run(run)
+
+
+def measure_neighbours(*, daemons: int, zones: int = 16) -> int:
+    """Return the peers that dial a daemon or are dialed by it."""
+    instances = make_instances(daemons, zones)
+    own = instances[0]
+    dialed = {d.instance_id for d in neighbours_of(own, instances)}
+    # Every daemon dials as many as it is dialed by, on the average.
+    return 2 * len(dialed)
+
+
+@contextlib.contextmanager
+def _quiet_logs() -> Iterator[None]:
+    logging.disable(logging.CRITICAL)
+    try:
+        yield
+    finally:
+        logging.disable(logging.NOTSET)
--- a/src/hawthornmast/daemon/member.py
+++ b/src/hawthornmast/daemon/member.py
@@ -106,7 +106,7 @@
             platform=PlatformClient.connect(platform.host, platform.port),
             post=self.network.post,
             ask=self.network.ask,
-            is_needed=self._is_needed,
+            is_needed=self.is_needed,
             holders=self._find_holders,
             random_source=self._random,
         )
@@ -298,7 +298,8 @@
                 notice = messages.DaemonLeaving(incarnation=self.incarnation)
                 self.network.post(peer_id, notice)
 
-    def _is_needed(self, key: str) -> bool:
+    def is_needed(self, key: str) -> bool:
+        """Return whether this daemon keeps the document of a key."""
         if key == DAEMONS_KEY:
             return True
         name = key.removeprefix(SERVICES_PREFIX)
