Publish the list of daemons by zone and update placement by change

Cause: each restart changed one list of the whole fleet. A daemon parsed all of it, hashed every daemon for every service it knew, counted all keys of the index once for each key, and looked at all zones to find the candidates of its own.

A list may now be published by zone (instances/daemons/<zone>), the whole list stays valid. Placements of a zone are kept and updated by the daemons that changed. Documents are refreshed only when the own zone changed, and the documents dropped by a large fleet are forgotten as services, too.

Conclusion: the processor time of a list change follows the zone; its bytes still grow with the zone's list.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -170,6 +170,7 @@
     )
     listed = {
         "change_cpu": "restart_cpu_s",
+        "longest_cpu": "longest_list_change_cpu_s",
         "change_bytes": "restart_bytes",
         "first_cpu": "start_cpu_s",
         "rss": "lists_rss_bytes",
--- a/benchmarks/capacity_fleet.py
+++ b/benchmarks/capacity_fleet.py
@@ -4,6 +4,7 @@
 services have no upstreams and no client sends requests.
 """
 
+import json
 import os
 import pathlib
 import statistics
@@ -92,6 +93,7 @@
         # All at once, so that no port is chosen twice.
         self._ports = iter(choose_ports(2 + 3 * max(SIZES)))
         self._changes = 0
+        self._published: dict[str, str] = {}
 
     async def start(self) -> None:
         """Start the platform and publish the catalogue."""
@@ -119,6 +121,20 @@
         for number in new:
             await self.wait_serving(self.members[number])
 
+    async def publish_daemons(self, *, gone: tuple[str, ...] = ()) -> None:
+        """Publish the lists of the zones that changed."""
+        for zone in self.deployment.zones:
+            listed = [
+                attrs.asdict(member.instance)
+                for member in self.members
+                if member.instance.zone == zone
+                and member.instance.instance_id not in gone
+            ]
+            text = json.dumps(listed)
+            if self._published.get(zone) != text:
+                self._published[zone] = text
+                await self.publish(f"instances/daemons/{zone}", text)
+
     async def change(self) -> int:
         """Publish a new revision of a service; return the revision."""
         self._changes += 1
@@ -179,8 +195,7 @@
         while waiting:
             late = []
             for member in waiting:
-                path = "/v1/status"
-                done = await self.ask_admin(member, path)
+                done = await self.ask_admin(member, "/v1/status")
                 if (
                     done.is_err()
                     or done.unwrap()["configuration"]["highest_revision"]
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -316,14 +316,19 @@
 
 
 def format_list(instances: list[Instance]) -> str:
-    """Return a published list of daemons with realistic addresses."""
-    return json.dumps(
-        [
-            attrs.asdict(item)
-            | {"host": f"127.{n // 60000 + 1}.{n // 250 % 250}.{n % 250 + 1}"}
-            for n, item in enumerate(instances)
-        ]
-    )
+    """Return a published list of daemons with an address for each."""
+    listed = []
+    for item in instances:
+        number = int(item.instance_id.removeprefix("d"))
+        host = f"127.1.{number // 250}.{number % 250 + 1}"
+        listed.append(attrs.asdict(item) | {"host": host})
+    return json.dumps(listed)
+
+
+def _format_zone(instances: list[Instance], zone: str) -> tuple[str, bytes]:
+    """Return the key and the content of the list of a zone."""
+    listed = [item for item in instances if item.zone == zone]
+    return f"instances/daemons/{zone}", format_list(listed).encode()
 
 
 @attrs.frozen(kw_only=True)
@@ -336,6 +341,8 @@
         CPU seconds to apply the lists and documents at start-up.
     change_cpu
         CPU seconds for one restart in the list, mean over ``rounds``.
+    longest_cpu
+        CPU seconds of the costliest single change, which nothing interrupts.
     change_bytes
         Bytes of the documents that one restart makes the daemon fetch.
     rss
@@ -348,6 +355,7 @@
 
     first_cpu: float
     change_cpu: float
+    longest_cpu: float
     change_bytes: float
     rss: float
     held: int
@@ -355,7 +363,7 @@
 
 
 def measure_lists(
-    *, daemons: int, services: int, zones: int = 16, rounds: int = 4
+    *, daemons: int, services: int, zones: int = 16, rounds: int = 16
 ) -> ListCost:
     """Measure a started daemon that learns a fleet and its restarts.
 
@@ -373,7 +381,10 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(serve, platform, HOST, ports[3], None)
             await daemon.start(nursery)
-            cost = _apply_lists(daemon, daemons, services, zones, rounds)
+            first = _apply_first(daemon, daemons, services, zones)
+            # The next tick drops what only a small fleet keeps.
+            await trio.sleep(5 * TICK_S)
+            cost = _restart(daemon, first, daemons, zones, rounds)
             nursery.cancel_scope.cancel()
         return cost
 
@@ -381,21 +392,18 @@
         return trio.run(run)
 
 
-def _apply_lists(
-    daemon: Daemon, daemons: int, services: int, zones: int, rounds: int
-) -> ListCost:
-    """Apply a fleet's lists to a daemon, then restarts of one instance."""
+def _apply_first(
+    daemon: Daemon, daemons: int, services: int, zones: int
+) -> tuple[float, int]:
+    """Apply a fleet's lists and documents; return CPU seconds and memory."""
     instances = make_instances(daemons, zones)
     before = read_rss()
     started = time.process_time()
-    revision = 1
-    daemon.store.accept(
-        "instances/daemons",
-        revision,
-        format_list(instances).encode(),
-        keep=True,
-    )
-    held = 0
+    revision = 0
+    for zone in range(zones):
+        revision += 1
+        key, content = _format_zone(instances, f"z{zone}")
+        daemon.store.accept(key, revision, content, keep=True)
     for number in range(services):
         name = f"service-{number}"
         revision += 2
@@ -408,33 +416,44 @@
         for key, text in documents.items():
             revision += 1
             keep = daemon.is_needed(key)
-            held += keep
             digest = hashlib.md5(text.encode()).digest()
             if keep:
                 daemon.store.accept(key, revision, text.encode(), keep=True)
             else:
                 daemon.store.note(key, revision, digest)
-    first = time.process_time() - started
-    rss = read_rss() - before
+    return time.process_time() - started, read_rss() - before
+
+
+def _restart(
+    daemon: Daemon,
+    first: tuple[float, int],
+    daemons: int,
+    zones: int,
+    rounds: int,
+) -> ListCost:
+    """Restart one instance after another, as the lists show it."""
+    instances = make_instances(daemons, zones)
+    revision = daemon.store.highest_revision
     changes = []
     size = 0
     for number in range(rounds):
         gone = instances[1 + number]
         for listed in ([i for i in instances if i != gone], instances):
-            content = format_list(listed).encode()
+            key, content = _format_zone(listed, gone.zone)
             size += len(content)
             revision += 1
             started = time.process_time()
-            daemon.store.accept(
-                "instances/daemons", revision, content, keep=True
-            )
+            daemon.store.accept(key, revision, content, keep=True)
             changes.append(time.process_time() - started)
     return ListCost(
-        first_cpu=first,
+        first_cpu=first[0],
+        longest_cpu=max(changes),
         change_cpu=2 * sum(changes) / len(changes),
         change_bytes=size / rounds,
-        rss=rss,
-        held=held,
+        rss=first[1],
+        held=sum(
+            daemon.store.document(e[0]) is not None for e in daemon.store
+        ),
         owned=len(list(daemon.services)),
     )
 
--- a/src/hawthornmast/daemon/member.py
+++ b/src/hawthornmast/daemon/member.py
@@ -33,7 +33,9 @@
 from hawthornmast.limits import SlotGrant
 from hawthornmast.membership import Directory
 from hawthornmast.membership.directory import DAEMONS_KEY
+from hawthornmast.membership.directory import is_daemons_key
 from hawthornmast.membership.directory import UPSTREAMS_PREFIX
+from hawthornmast.membership.directory import ZONE_PREFIX
 from hawthornmast.peers import PeerNetwork
 from hawthornmast.settings import Settings
 
@@ -67,6 +69,8 @@
         self.incarnation = secrets.randbits(64)
         self._random = random.Random(self.incarnation)
         self._leaving = False
+        self._is_large = False
+        self._refresh_due = False
         self._stopped = trio.Event()
         self._groups: frozenset[tuple[str, ...]] = frozenset()
         self.audit = AuditTrail(capacity=settings.limits.audit_records)
@@ -108,6 +112,10 @@
             ask=self.network.ask,
             is_needed=self.is_needed,
             holders=self._find_holders,
+            bootstrap_keys=(
+                DAEMONS_KEY,
+                ZONE_PREFIX + self.instance.zone,
+            ),
             random_source=self._random,
         )
 
@@ -266,7 +274,7 @@
         self.metrics.set_revision(max(revision, self.store.highest_revision))
 
     def _note_list(self, key: str) -> None:
-        if key == DAEMONS_KEY:
+        if is_daemons_key(key):
             self._apply_daemons()
         elif key.startswith(UPSTREAMS_PREFIX):
             self.services.refresh(key.removeprefix(UPSTREAMS_PREFIX))
@@ -279,7 +287,21 @@
         )
         self.services.refresh_all()
         self._connect_peers()
+        # Which documents are needed depends on the own zone only.
+        if self.instance.zone in self.directory.take_changed_zones():
+            self._refresh_documents()
+
+    def _refresh_documents(self) -> None:
+        """Fetch what is newly needed; drop what is needed no longer."""
+        self._refresh_due = False
+        self._is_large = self._count_services() > SMALL_FLEET_SERVICES
         self.distributor.refresh()
+        self.services.forget_dropped(
+            lambda key: self.store.document(key) is not None
+        )
+
+    def _count_services(self) -> int:
+        return self.store.count_keys(SERVICES_PREFIX)
 
     def _connect_peers(self) -> None:
         """Dial the neighbours and the members of all own groups."""
@@ -300,26 +322,28 @@
 
     def is_needed(self, key: str) -> bool:
         """Return whether this daemon keeps the document of a key."""
-        if key == DAEMONS_KEY:
+        if is_daemons_key(key):
             return True
         name = key.removeprefix(SERVICES_PREFIX)
         if name == key:
             name = key.removeprefix(UPSTREAMS_PREFIX)
         if name == key:
             return False
-        if self.store.count_keys(SERVICES_PREFIX) <= SMALL_FLEET_SERVICES:
-            return True
+        # Counting looks at every key, so a large fleet is counted again only
+        # when the documents are refreshed.
+        if not self._is_large:
+            if self._count_services() <= SMALL_FLEET_SERVICES:
+                return True
+            self._is_large = self._refresh_due = True
         return self.instance.instance_id in self._find_holders(key)
 
     def _find_holders(self, key: str) -> list[str]:
         """Return the daemons of this zone that keep a service's documents."""
         name = key.rpartition("/")[2]
-        candidates = self.directory.owners(name, per_zone=CANDIDATES_PER_ZONE)
-        return [
-            item.instance_id
-            for item in candidates
-            if item.zone == self.instance.zone
-        ]
+        candidates = self.directory.candidates(
+            name, self.instance.zone, CANDIDATES_PER_ZONE
+        )
+        return [item.instance_id for item in candidates]
 
     async def _tick_forever(self) -> None:
         counted = (0, 0)
@@ -327,6 +351,8 @@
             for runtime in self.services:
                 runtime.tick()
             self._connect_peers_if_changed()
+            if self._refresh_due:
+                self._refresh_documents()
             counted = self._count_peers(counted)
             await trio.sleep(TICK_S)
 
--- a/src/hawthornmast/daemon/services.py
+++ b/src/hawthornmast/daemon/services.py
@@ -14,9 +14,9 @@
 from hawthornmast.daemon.runtime import Links
 from hawthornmast.daemon.runtime import Runtime
 from hawthornmast.membership import Directory
-from hawthornmast.membership import parse_daemons
+from hawthornmast.membership import is_daemons_key
+from hawthornmast.membership import parse_list
 from hawthornmast.membership import parse_upstreams
-from hawthornmast.membership.directory import DAEMONS_KEY
 from hawthornmast.membership.directory import UPSTREAMS_PREFIX
 
 SERVICES_PREFIX = "catalogue/services/"
@@ -110,6 +110,7 @@
         name = key.removeprefix(SERVICES_PREFIX)
         if self._services.pop(name, None) is not None:
             self.refresh(name)
+            self._directory.forget(name)
 
     def refresh(self, service_name: str) -> None:
         """Start, update or close the runtime of a service."""
@@ -134,9 +135,26 @@
         )
 
     def refresh_all(self) -> None:
-        """Apply a new list of daemons to all services."""
+        """Apply a new list of daemons to the services whose group changed."""
+        own = self._links.instance.instance_id
+        for name, service in list(self._services.items()):
+            owners = self._directory.owners(
+                name, per_zone=service.owners_per_zone
+            )
+            group = tuple(daemon.instance_id for daemon in owners)
+            runtime = self._runtimes.get(name)
+            if runtime is None:
+                changed = own in group
+            else:
+                changed = runtime.group != group
+            if changed:
+                self.refresh(name)
+
+    def forget_dropped(self, is_held: Callable[[str], bool]) -> None:
+        """Forget the services whose documents were dropped."""
         for name in list(self._services):
-            self.refresh(name)
+            if not is_held(SERVICES_PREFIX + name):
+                self.remove_document(SERVICES_PREFIX + name)
 
     def _forget(self, service_name: str) -> None:
         runtime = self._runtimes.pop(service_name, None)
@@ -155,8 +173,8 @@
             )
         name = key.removeprefix(SERVICES_PREFIX)
         return check_name(parsed.unwrap(), name)
-    if key == DAEMONS_KEY:
-        return parse_daemons(text)
+    if is_daemons_key(key):
+        return parse_list(key, text)
     if key.startswith(UPSTREAMS_PREFIX):
         return parse_upstreams(text)
     return Ok(None)
--- a/src/hawthornmast/membership/__init__.py
+++ b/src/hawthornmast/membership/__init__.py
@@ -1,6 +1,8 @@
 """Published lists of instances and placement computed from them."""
 
 from hawthornmast.membership.directory import Directory
+from hawthornmast.membership.directory import is_daemons_key
+from hawthornmast.membership.directory import parse_list
 from hawthornmast.membership.lists import parse_daemons
 from hawthornmast.membership.lists import parse_upstreams
 from hawthornmast.membership.placement import neighbours_of
@@ -10,9 +12,11 @@
 
 __all__ = [
     "Directory",
+    "is_daemons_key",
     "neighbours_of",
     "owners_of",
     "parse_daemons",
+    "parse_list",
     "parse_upstreams",
     "readers_of",
     "score",
--- a/src/hawthornmast/membership/directory.py
+++ b/src/hawthornmast/membership/directory.py
@@ -1,7 +1,9 @@
 """Accepted lists of daemons and upstreams of one process."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 
+from result import Err
 from result import Ok
 from result import Result
 
@@ -10,8 +12,12 @@
 from hawthornmast.common import Upstream
 from hawthornmast.membership import lists
 from hawthornmast.membership import placement
+from hawthornmast.membership.zone import ZoneMembers
 
 DAEMONS_KEY = "instances/daemons"
+ZONE_PREFIX = "instances/daemons/"
+"""Lists of one zone; they keep a restart from sending the whole fleet."""
+
 UPSTREAMS_PREFIX = "instances/upstreams/"
 
 
@@ -29,7 +35,10 @@
         self._daemons: dict[str, Instance] = {}
         self._upstreams: dict[str, tuple[Upstream, ...]] = {}
         self._leaving: set[str] = set()
-        self._owners: dict[tuple[str, int], tuple[Instance, ...]] = {}
+        self._lists: dict[str, tuple[Instance, ...]] = {}
+        self._zones: dict[str, ZoneMembers] = {}
+        self._listed: dict[str, set[str]] = {}
+        self._changed_zones: set[str] = set()
         self._watchers: list[Callable[[str], None]] = []
         self.daemons_revision = 0
 
@@ -58,15 +67,16 @@
         self, key: str, revision: int, text: str | None
     ) -> Result[None, StepError]:
         """Put an accepted list in force; None empties it."""
-        if key == DAEMONS_KEY:
-            daemons = lists.parse_daemons(text or "[]")
-            if daemons.is_err():
-                return daemons.map(lambda _: None)
-            listed = {d.instance_id: d for d in daemons.unwrap()}
-            self._daemons = listed
-            self._leaving &= listed.keys()
-            self._owners.clear()
-            self.daemons_revision = revision
+        if is_daemons_key(key):
+            daemons = parse_list(key, text or "[]")
+            if isinstance(daemons, Err):
+                return daemons
+            if text is None:
+                self._lists.pop(key, None)
+            else:
+                self._lists[key] = daemons.unwrap()
+            self._merge_lists(key)
+            self.daemons_revision = max(revision, self.daemons_revision)
         elif key.startswith(UPSTREAMS_PREFIX):
             upstreams = lists.parse_upstreams(text or "[]")
             if upstreams.is_err():
@@ -81,6 +91,52 @@
         self._notify(key)
         return Ok(None)
 
+    def _merge_lists(self, key: str) -> None:
+        """Put the changed zones in force.
+
+        The list of a zone replaces that zone's part of the whole list.
+        """
+        if key == DAEMONS_KEY:
+            grouped: dict[str, list[Instance]] = {
+                zone: [] for zone in self._zones
+            }
+            for daemon in self._lists.get(DAEMONS_KEY, ()):
+                grouped.setdefault(daemon.zone, []).append(daemon)
+            for zone, members in grouped.items():
+                if ZONE_PREFIX + zone not in self._lists:
+                    self._set_zone(zone, members)
+        else:
+            zone = key.removeprefix(ZONE_PREFIX)
+            listed = self._lists.get(key)
+            if listed is None:
+                whole = self._lists.get(DAEMONS_KEY, ())
+                listed = tuple(d for d in whole if d.zone == zone)
+            self._set_zone(zone, listed)
+        self._leaving &= self._daemons.keys()
+
+    def _set_zone(self, zone: str, members: Iterable[Instance]) -> None:
+        found = self._zones.setdefault(zone, ZoneMembers())
+        listed = {d.instance_id: d for d in members}
+        for gone in self._listed.get(zone, set()) - listed.keys():
+            if self._daemons[gone].zone == zone:
+                del self._daemons[gone]
+        self._listed[zone] = set(listed)
+        self._daemons.update(listed)
+        if found.update(listed.values()):
+            self._changed_zones.add(zone)
+
+    def take_changed_zones(self) -> set[str]:
+        """Return the zones whose live daemons changed since the last call."""
+        changed, self._changed_zones = self._changed_zones, set()
+        return changed
+
+    def candidates(self, name: str, zone: str, count: int) -> list[Instance]:
+        """Return the daemons of a zone with the highest hash for a name."""
+        members = self._zones.get(zone)
+        if members is None:
+            return []
+        return [daemon for _, daemon in members.choose(name, count)]
+
     def note_leaving(self, instance_id: str) -> None:
         """Record a peer's notice that it leaves.
 
@@ -104,28 +160,69 @@
     def owners(
         self, service_name: str, *, per_zone: int = 1
     ) -> tuple[Instance, ...]:
-        """Return the owner group, computed once per list revision."""
-        key = (service_name, per_zone)
-        found = self._owners.get(key)
-        if found is None:
-            found = placement.owners_of(
-                service_name, self._daemons.values(), per_zone=per_zone
-            )
-            self._owners[key] = found
-        return found
+        """Return the owner group, in hash order."""
+        if per_zone < 1:
+            raise ValueError(f"per_zone is {per_zone}, allowed: 1 or more")
+        chosen = [
+            pair
+            for members in self._zones.values()
+            for pair in members.choose(service_name, per_zone)
+        ]
+        chosen.sort(key=lambda pair: pair[0], reverse=True)
+        return tuple(daemon for _, daemon in chosen)
+
+    def forget(self, service_name: str) -> None:
+        """Drop the owners of a service outside this daemon's zone."""
+        own = self._daemons.get(self._self_id)
+        for zone, members in self._zones.items():
+            if own is None or zone != own.zone:
+                members.forget(service_name)
 
     def neighbours(self) -> tuple[Instance, ...]:
         """Return this daemon's neighbours; none while it isn't listed."""
         own = self._daemons.get(self._self_id)
         if own is None:
             return ()
-        return placement.neighbours_of(own, self._daemons.values())
+        found: dict[str, Instance] = {}
+        for daemon in self._zones[own.zone].neighbours(own):
+            found[daemon.instance_id] = daemon
+        for zone, members in sorted(self._zones.items()):
+            daemon_after = members.find_next(own)
+            if zone != own.zone and daemon_after is not None:
+                found[daemon_after.instance_id] = daemon_after
+        return tuple(found.values())
 
     def is_reader(self) -> bool:
         """Return whether this daemon watches the platform."""
-        readers = placement.readers_of(self._daemons.values())
+        own = self._daemons.get(self._self_id)
+        if own is None:
+            return False
+        readers = self.candidates(
+            placement.READERS, own.zone, placement.READERS_PER_ZONE
+        )
         return any(r.instance_id == self._self_id for r in readers)
 
     def _notify(self, key: str) -> None:
         for callback in list(self._watchers):
             callback(key)
+
+
+def is_daemons_key(key: str) -> bool:
+    """Return whether a key holds a list of daemons."""
+    return key == DAEMONS_KEY or key.startswith(ZONE_PREFIX)
+
+
+def parse_list(key: str, text: str) -> Result[tuple[Instance, ...], StepError]:
+    """Return the daemons of a list; that of a zone names no other zone."""
+    parsed = lists.parse_daemons(text)
+    if isinstance(parsed, Err) or key == DAEMONS_KEY:
+        return parsed
+    zone = key.removeprefix(ZONE_PREFIX)
+    for daemon in parsed.ok_value:
+        if daemon.zone != zone:
+            detail = (
+                f"zone of {daemon.instance_id!r} is {daemon.zone!r}, "
+                f"allowed: {zone!r} as in the document's key"
+            )
+            return Err(StepError(step="parse-daemons", detail=detail))
+    return parsed
--- a/src/hawthornmast/membership/lists.py
+++ b/src/hawthornmast/membership/lists.py
@@ -1,6 +1,7 @@
 """Strict parsing of the published JSON lists."""
 
 from collections.abc import Callable
+import functools
 import ipaddress
 import json
 from typing import Any
@@ -67,6 +68,8 @@
 _OPTIONAL = {"state", "connections"}
 
 
+# A list is validated and then applied; the second call reuses the result.
+@functools.lru_cache(maxsize=1)
 def parse_daemons(text: str) -> Result[tuple[Instance, ...], StepError]:
     """Return the daemons of ``instances/daemons``."""
     return _parse(text, "parse-daemons", "instance_id", _DAEMON, Instance)
--- a/src/hawthornmast/membership/placement.py
+++ b/src/hawthornmast/membership/placement.py
@@ -15,8 +15,8 @@
 """Two, so that one lost reader doesn't delay a zone's changes."""
 
 _CHORD_BASE = 4
-_RING = "hawthornmast/ring"
-_READERS = "hawthornmast/readers"
+RING = "hawthornmast/ring"
+READERS = "hawthornmast/readers"
 
 
 def score(name: str, instance_id: str) -> int:
@@ -27,7 +27,8 @@
     return int.from_bytes(digest, "big")
 
 
-def _rank(name: str, daemon: Instance) -> tuple[int, str]:
+def rank(name: str, daemon: Instance) -> tuple[int, str]:
+    """Return the hash by which a daemon is chosen for a name."""
     return score(name, daemon.instance_id), daemon.instance_id
 
 
@@ -50,7 +51,7 @@
     zones: dict[str, list[tuple[tuple[int, str], Instance]]] = {}
     for daemon in daemons:
         if daemon.state is State.LIVE:
-            ranked = (_rank(service_name, daemon), daemon)
+            ranked = (rank(service_name, daemon), daemon)
             zones.setdefault(daemon.zone, []).append(ranked)
     chosen: list[tuple[tuple[int, str], Instance]] = []
     for members in zones.values():
@@ -61,7 +62,27 @@
 
 def readers_of(daemons: Iterable[Instance]) -> tuple[Instance, ...]:
     """Return the daemons that watch the platform."""
-    return owners_of(_READERS, daemons, per_zone=READERS_PER_ZONE)
+    return owners_of(READERS, daemons, per_zone=READERS_PER_ZONE)
+
+
+def ring_offsets(size: int) -> list[int]:
+    """Return the places of the neighbours on a ring without the instance.
+
+    Parameters
+    ----------
+    size
+        Number of the other daemons on the ring.
+    """
+    if not size:
+        return []
+    # The instance itself isn't in the list, so the daemon at distance d
+    # after it has the index position + d - 1.
+    offsets = [-1]
+    distance = 1
+    while distance <= size:
+        offsets.append(distance - 1)
+        distance *= _CHORD_BASE
+    return offsets
 
 
 def neighbours_of(
@@ -78,21 +99,14 @@
         if daemon.instance_id == instance.instance_id:
             continue
         if daemon.state is State.LIVE:
-            ranked = (_rank(_RING, daemon), daemon)
+            ranked = (rank(RING, daemon), daemon)
             zones.setdefault(daemon.zone, []).append(ranked)
     found: dict[str, Instance] = {}
-    own = _rank(_RING, instance)
+    own = rank(RING, instance)
     ring = sorted(zones.pop(instance.zone, []), key=lambda pair: pair[0])
     if ring:
-        position = sum(rank < own for rank, _ in ring)
-        # The instance itself isn't in the list, so the daemon at distance
-        # d after it has the index position + d - 1.
-        offsets = [-1]
-        distance = 1
-        while distance <= len(ring):
-            offsets.append(distance - 1)
-            distance *= _CHORD_BASE
-        for offset in offsets:
+        position = sum(pair[0] < own for pair in ring)
+        for offset in ring_offsets(len(ring)):
             daemon = ring[(position + offset) % len(ring)][1]
             found[daemon.instance_id] = daemon
     for _, members in sorted(zones.items()):
