--- a/src/hawthornmast/configuration/distributor.py
+++ b/src/hawthornmast/configuration/distributor.py
@@ -245,7 +245,7 @@
                 await self._fetcher.resolve(key)
             await self._ask_neighbours()
             late = trio.current_time() - started >= STARTUP_S
-            known = all(
+            known = any(
                 self._store.document(key) for key in self._bootstrap_keys
             )
             if listed and known and not self._neighbours:
