Measure added latency and throughput per core on real processes

The load comes from a process of its own over plain sockets; rounds against the upstreams, the pass-through and the daemon alternate in one run.

--- /dev/null
+++ b/benchmarks/latency.py
@@ -0,0 +1,409 @@
+"""Added latency and throughput per core of one daemon, on real processes.
+
+Run ``python -m benchmarks.latency``. Upstream stand-ins, one daemon, the
+pass-through and the load generator are processes on loopback. Rounds against
+each target alternate in one run. ``--profile FILE`` runs the daemon under
+cProfile; ``--against FOLDER`` also measures a daemon whose package lies in
+that folder, such as an earlier version.
+"""
+
+import argparse
+from collections.abc import Iterable
+import contextlib
+import itertools
+import json
+import os
+import pathlib
+import statistics
+import subprocess
+import sys
+import tempfile
+from typing import Any
+
+import attrs
+from hdrh.histogram import HdrHistogram
+import trio
+
+from benchmarks.generator import Command
+from hawthornmast.http import fetch
+from tools.deployments import BRAMBLEWICK
+from tools.fleet import Fleet
+from tools.fleet import Member
+from tools.processes import choose_ports
+from tools.processes import HOST
+from tools.processes import Process
+from tools.processes import ProcessGroup
+from tools.processes import ROOT
+
+AIM_ADDED_MS = 2.5
+NEXT_AIM_ADDED_MS = 1.0
+AIM_RATIO = 0.85
+RATE = 200.0
+UPSTREAMS = {"catalogue": 5, "billing": 5}
+KINDS: dict[str, dict[str, Any]] = {
+    "GET": {"path": "/products/7", "service": "catalogue"},
+    "POST": {
+        "method": "POST",
+        "path": "/renewals",
+        "service": "billing",
+        "body_bytes": 200,
+    },
+}
+
+
+class Generator:
+    """The process that sends load."""
+
+    def __init__(self) -> None:
+        self._popen = subprocess.Popen(
+            [sys.executable, "-m", "benchmarks.generator"],
+            cwd=ROOT,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+
+    async def run(self, command: Command) -> dict[str, Any]:
+        """Run one round and return its result."""
+        line = json.dumps(attrs.asdict(command)) + "\n"
+        answer = await trio.to_thread.run_sync(self._exchange, line)
+        result: dict[str, Any] = json.loads(answer)
+        return result
+
+    def _exchange(self, line: str) -> str:
+        assert self._popen.stdin is not None
+        assert self._popen.stdout is not None
+        self._popen.stdin.write(line)
+        self._popen.stdin.flush()
+        return self._popen.stdout.readline()
+
+    def close(self) -> None:
+        """End the process."""
+        self._popen.kill()
+        self._popen.wait()
+
+
+class MeasuredFleet(Fleet):
+    """One daemon, started under a profiler or from another folder."""
+
+    profile: str = ""
+    package_folder: str = ""
+
+    def start_member(self, member: Member) -> None:
+        """Start the daemon as asked."""
+        command = ["hawthornmast.cli", "daemon", str(member.settings)]
+        if self.profile:
+            command = ["cProfile", "-o", self.profile, "-m", *command]
+        before = os.environ.get("PYTHONPATH")
+        if self.package_folder:
+            # The process group passes its own environment on.
+            os.environ["PYTHONPATH"] = self.package_folder
+        try:
+            member.process = self._group.start(
+                member.instance.instance_id, *command
+            )
+        finally:
+            os.environ.pop("PYTHONPATH", None)
+            if before is not None:
+                os.environ["PYTHONPATH"] = before
+
+
+@attrs.define(kw_only=True)
+class Target:
+    """Where load is sent."""
+
+    addresses: dict[str, list[tuple[str, int]]]
+    process: Process | None = None
+    tickets: bool = False
+
+
+def read_cpu_s(process: Process) -> float:
+    """Return the CPU seconds that a process has used."""
+    stat = pathlib.Path(f"/proc/{process.popen.pid}/stat").read_text()
+    fields = stat.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+class Measurement:
+    """The processes of one run.
+
+    Parameters
+    ----------
+    folder
+        Where settings and log files go.
+    profile
+        File for the profile of the daemon; empty for none.
+    against
+        Folder of another version of the package; empty for none.
+    """
+
+    def __init__(
+        self, folder: pathlib.Path, *, profile: str = "", against: str = ""
+    ) -> None:
+        self._folder = folder
+        self._profile = profile
+        self._against = against
+        self._groups: list[ProcessGroup] = []
+        self._fleets: list[Fleet] = []
+        self.generator = Generator()
+        self.targets: dict[str, Target] = {}
+
+    async def start(self) -> None:
+        """Start all processes."""
+        fleet = await self._start_fleet("daemon", profile=self._profile)
+        direct = {
+            service: [
+                (item.upstream.host, item.upstream.port)
+                for item in fleet.backends
+                if item.service == service
+            ]
+            for service in UPSTREAMS
+        }
+        self.targets["direct"] = Target(addresses=direct)
+        ports = dict(zip(UPSTREAMS, choose_ports(len(direct)), strict=True))
+        for service, addresses in direct.items():
+            name = f"pass-through-{service}"
+            process = self._groups[0].start(
+                name,
+                "standins.passthrough",
+                "--port",
+                str(ports[service]),
+                *(f"{host}:{port}" for host, port in addresses),
+            )
+            self.targets[name] = Target(
+                addresses={service: [(HOST, ports[service])]}, process=process
+            )
+            with trio.fail_after(10):
+                while (await fetch(HOST, ports[service], "GET", "/")).is_err():
+                    await trio.sleep(0.05)
+        if self._against:
+            await self._start_fleet("against", package_folder=self._against)
+
+    async def _start_fleet(
+        self, name: str, *, profile: str = "", package_folder: str = ""
+    ) -> Fleet:
+        folder = self._folder / name
+        folder.mkdir()
+        group = ProcessGroup(folder)
+        self._groups.append(group)
+        fleet = MeasuredFleet(
+            attrs.evolve(BRAMBLEWICK, upstreams=UPSTREAMS),
+            group=group,
+            folder=folder,
+            daemons=1,
+            service_ms=0.0,
+            drain_grace_ms=100,
+        )
+        fleet.profile = profile
+        fleet.package_folder = package_folder
+        self._fleets.append(fleet)
+        await fleet.start()
+        member = fleet.members[0]
+        address = (member.instance.host, member.instance.port)
+        self.targets[name] = Target(
+            addresses={service: [address] for service in UPSTREAMS},
+            process=member.process,
+            tickets=True,
+        )
+        return fleet
+
+    async def close(self) -> None:
+        """End all processes."""
+        self.generator.close()
+        for fleet in self._fleets:
+            await fleet.stop()
+        for group in self._groups:
+            await group.close()
+
+    def list_targets(self, service: str) -> dict[str, Target]:
+        """Return the targets that serve a service."""
+        return {
+            name.removesuffix(f"-{service}"): target
+            for name, target in self.targets.items()
+            if service in target.addresses
+        }
+
+    async def measure_latency(
+        self, rounds: int, seconds: float, seed: int
+    ) -> list[dict[str, Any]]:
+        """Return the latencies by kind and target."""
+        samples: dict[tuple[str, str], list[list[int]]] = {}
+        failed: dict[tuple[str, str], int] = {}
+        for number in range(rounds):
+            for kind, request in KINDS.items():
+                targets = self.list_targets(request["service"])
+                for name, target in targets.items():
+                    # All targets of a round get the same arrivals.
+                    result = await self.generator.run(
+                        Command(
+                            addresses=target.addresses[request["service"]],
+                            tickets=kind == "POST" and target.tickets,
+                            rate=RATE,
+                            connections=8,
+                            seconds=seconds,
+                            seed=seed + number,
+                            **request,
+                        )
+                    )
+                    key = (kind, name)
+                    samples.setdefault(key, []).append(result["micros"])
+                    failed[key] = failed.get(key, 0) + result["failed"]
+        return [
+            _describe_latency(kind, name, samples, failed[kind, name])
+            for kind, name in samples
+        ]
+
+    async def measure_throughput(
+        self, rounds: int, seconds: float
+    ) -> list[dict[str, Any]]:
+        """Return the requests per core-second by target."""
+        request = KINDS["GET"]
+        targets = self.list_targets(request["service"])
+        rates: dict[str, list[float]] = {}
+        rows: dict[str, dict[str, Any]] = {}
+        # The first round warms up and is not counted.
+        for number in range(rounds + 1):
+            for name, target in targets.items():
+                if target.process is None:
+                    continue
+                before = read_cpu_s(target.process)
+                result = await self.generator.run(
+                    Command(
+                        addresses=target.addresses[request["service"]],
+                        seconds=seconds,
+                        **request,
+                    )
+                )
+                spent = read_cpu_s(target.process) - before
+                if not number:
+                    continue
+                rates.setdefault(name, []).append(result["done"] / spent)
+                row = rows.setdefault(
+                    name,
+                    {
+                        "row": f"throughput {name}",
+                        "requests": 0,
+                        "failed": 0,
+                        "core_use": 0.0,
+                        "generator_cpu": 0.0,
+                    },
+                )
+                row["requests"] += result["done"]
+                row["failed"] += result["failed"]
+                use = spent / result["seconds"]
+                row["core_use"] = round(max(row["core_use"], use), 3)
+                row["generator_cpu"] = max(
+                    row["generator_cpu"], result["generator_cpu"]
+                )
+        for name, row in rows.items():
+            row["per_core_s"] = round(statistics.median(rates[name]))
+            row["spread"] = [round(min(rates[name])), round(max(rates[name]))]
+            pairs = zip(rates[name], rates["pass-through"], strict=True)
+            ratios = [own / plain for own, plain in pairs]
+            row["ratio"] = round(statistics.median(ratios), 3)
+            row["ratio_spread"] = [
+                round(min(ratios), 3),
+                round(max(ratios), 3),
+            ]
+            row["rounds"] = rounds
+        return list(rows.values())
+
+
+def _quantile_ms(micros: Iterable[int], quantile: float) -> float:
+    histogram = HdrHistogram(1, 60_000_000, 3)
+    for value in micros:
+        histogram.record_value(value)
+    return float(histogram.get_value_at_percentile(quantile)) / 1000
+
+
+def _describe_latency(
+    kind: str,
+    name: str,
+    samples: dict[tuple[str, str], list[list[int]]],
+    failed: int,
+) -> dict[str, Any]:
+    row: dict[str, Any] = {
+        "row": f"latency {kind} {name}",
+        "rounds": len(samples[kind, name]),
+        "requests": sum(map(len, samples[kind, name])),
+        "failed": failed,
+    }
+    direct = samples[kind, "direct"]
+    for label, quantile in (("median", 50.0), ("p99", 99.0)):
+        own = _quantile_ms(itertools.chain(*samples[kind, name]), quantile)
+        plain = _quantile_ms(itertools.chain(*direct), quantile)
+        row[f"{label}_ms"] = own
+        if name == "direct":
+            continue
+        by_round = [
+            _quantile_ms(through, quantile) - _quantile_ms(base, quantile)
+            for through, base in zip(samples[kind, name], direct, strict=True)
+        ]
+        row[f"added_{label}_ms"] = round(own - plain, 3)
+        row[f"added_{label}_spread"] = [
+            round(min(by_round), 3),
+            round(max(by_round), 3),
+        ]
+    return row
+
+
+def judge(rows: list[dict[str, Any]]) -> None:
+    """Add the aim and whether it is held to the daemon's rows."""
+    for row in rows:
+        if row["row"].startswith("latency") and row["row"].endswith("daemon"):
+            row["aim"] = AIM_ADDED_MS
+            row["held"] = row["added_p99_ms"] <= AIM_ADDED_MS
+            row["next_held"] = row["added_p99_ms"] <= NEXT_AIM_ADDED_MS
+        elif row["row"] == "throughput daemon":
+            row["aim"] = AIM_RATIO
+            row["held"] = row["ratio"] >= AIM_RATIO
+
+
+async def measure(options: argparse.Namespace) -> list[dict[str, Any]]:
+    """Run all rounds and return the judged rows."""
+    rows: list[dict[str, Any]] = []
+    with tempfile.TemporaryDirectory() as folder:
+        measurement = Measurement(
+            pathlib.Path(folder),
+            profile=options.profile,
+            against=options.against,
+        )
+        try:
+            await measurement.start()
+            if options.part != "throughput":
+                rows += await measurement.measure_latency(
+                    options.rounds, options.seconds, options.seed
+                )
+            if options.part != "latency":
+                rows += await measurement.measure_throughput(
+                    options.rounds, options.seconds
+                )
+        finally:
+            with trio.CancelScope(shield=True):
+                await measurement.close()
+    judge(rows)
+    return rows
+
+
+def main() -> int:
+    """Print the rows; return 1 when one misses its aim."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rounds", type=int, default=6)
+    parser.add_argument("--seconds", type=float, default=2.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--part", choices=("both", "latency", "throughput"), default="both"
+    )
+    parser.add_argument("--profile", default="")
+    parser.add_argument("--against", default="")
+    options = parser.parse_args()
+    rows = trio.run(measure, options)
+    for row in rows:
+        print(json.dumps(row), flush=True)
+    held = all(row.get("held", True) for row in rows)
+    return 0 if held else 1
+
+
+if __name__ == "__main__":
+    with contextlib.suppress(KeyboardInterrupt):
+        sys.exit(main())
