Admit a request to a free slot without a queue's work

On an idle service admission looked for a candidate before it took a slot, which proves the same, created an event that nobody waited for, and built three-field tuples for each upstream. A release dispatched with nobody waiting.

--- a/src/hawthornmast/limits/dispatcher.py
+++ b/src/hawthornmast/limits/dispatcher.py
@@ -137,12 +137,11 @@
 
         Does not pass a checkpoint when the outcome is known at once.
         """
-        event = trio.Event()
-        waiter = self.enqueue(
-            entry, deadline=deadline, exclude=exclude, notify=event.set
-        )
+        waiter = self.enqueue(entry, deadline=deadline, exclude=exclude)
         if waiter.outcome is not None:
             return waiter.outcome
+        event = trio.Event()
+        waiter.notify = event.set
         try:
             with trio.move_on_after(max(0.0, deadline - self._clock())):
                 await event.wait()
@@ -176,15 +175,19 @@
             exclude=frozenset(exclude),
         )
         queue = self._find(entry)
-        refusal = self._check(queue, waiter, now)
+        refusal = self._check(waiter, now)
         if refusal is not None:
             waiter.outcome = Err(refusal)
             return waiter
         if not self._waiting:
             upstream = self._pool.take(waiter.exclude)
             if upstream is not None:
-                self._grant(queue, waiter, upstream, now)
+                waiter.outcome = self._grant(queue, waiter, upstream, now)
                 return waiter
+        # A slot that was taken shows that there is a candidate.
+        if not self._pool.has_candidate(waiter.exclude):
+            waiter.outcome = Err(self._refuse(Reason.NO_UPSTREAM))
+            return waiter
         refusal = self._make_room(queue, waiter, now)
         if refusal is not None:
             waiter.outcome = Err(refusal)
@@ -253,15 +256,11 @@
             self._queues[entry.name] = queue
         return queue
 
-    def _check(
-        self, queue: _Queue, waiter: Waiter, now: float
-    ) -> Refusal | None:
+    def _check(self, waiter: Waiter, now: float) -> Refusal | None:
         if self._closed:
             return self._refuse(Reason.CLOSING)
         if now >= waiter.deadline:
             return self._refuse(Reason.DEADLINE)
-        if not self._pool.has_candidate(waiter.exclude):
-            return self._refuse(Reason.NO_UPSTREAM)
         return None
 
     def _make_room(
@@ -379,7 +378,8 @@
                 self._settle(waiter, Err(self._refuse(Reason.DEADLINE)))
             else:
                 queue.record_pace(now)
-                self._grant(queue, waiter, upstream, now)
+                granted = self._grant(queue, waiter, upstream, now)
+                self._settle(waiter, granted)
 
     def _sort_queues(self) -> list[_Queue]:
         waiting = [queue for queue in self._queues.values() if queue.waiting]
@@ -387,7 +387,7 @@
 
     def _grant(
         self, queue: _Queue, waiter: Waiter, upstream: Upstream, now: float
-    ) -> None:
+    ) -> Ok[Admission]:
         name = waiter.entry
         queue.running += 1
         self._turns += 1
@@ -397,13 +397,15 @@
             self._pool.release(upstream.upstream_id)
             queue.running -= 1
             self._record_service_time(self._clock() - now)
-            self._discard(name)
-            self._dispatch()
+            if not queue.listed:
+                self._discard(name)
+            if self._waiting:
+                self._dispatch()
 
         admission = Admission(
             upstream=upstream, waited=now - waiter.arrived, release=release
         )
-        self._settle(waiter, Ok(admission))
+        return Ok(admission)
 
     def _settle(
         self, waiter: Waiter, outcome: Result[Admission, Refusal]
--- a/src/hawthornmast/limits/pool.py
+++ b/src/hawthornmast/limits/pool.py
@@ -4,6 +4,7 @@
 from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Mapping
+import math
 import random as random_module
 
 import attrs
@@ -107,26 +108,35 @@
         """Take a slot of the least used upstream outside ``exclude``."""
         if self._check is not None:
             self._check()
-        best_key: tuple[bool, float, bool] | None = None
+        # Compared field by field: this loop runs for each request, and
+        # tuples of the three fields double its cost.
         best: list[_Member] = []
+        best_avoided, best_use, best_far = True, math.inf, True
         for upstream_id, member in self._members.items():
-            # The cheap test precedes the call, since most members of a
-            # loaded pool have no free slot.
-            if member.in_use >= member.allowed or upstream_id in exclude:
+            # The cheap tests precede the calls, since most members of a
+            # loaded pool have no free slot or are in heavier use.
+            in_use = member.in_use
+            if in_use >= member.allowed or upstream_id in exclude:
                 continue
             standing = self._standing(upstream_id)
             usable = member.count_usable(standing)
-            if member.in_use >= usable:
+            if in_use >= usable:
                 continue
-            key = (
-                standing.avoided,
-                member.in_use / usable,
-                member.upstream.zone != self._zone,
-            )
-            if best_key is None or key < best_key:
-                best_key, best = key, [member]
-            elif key == best_key:
-                best.append(member)
+            avoided, use = standing.avoided, in_use / usable
+            if avoided != best_avoided:
+                if avoided:
+                    continue
+            elif use > best_use:
+                continue
+            far = member.upstream.zone != self._zone
+            if avoided == best_avoided and use == best_use:
+                if far == best_far:
+                    best.append(member)
+                    continue
+                if far:
+                    continue
+            best_avoided, best_use, best_far = avoided, use, far
+            best = [member]
         if not best:
             return None
         chosen = best[0] if len(best) == 1 else self._random.choice(best)
