Keep the metric series of each entry and outcome

Each request looked up three series by their labels, which joins the labels and takes a lock. The series are now found by one key, and dropped with their service; a new test guards the drop.

--- a/src/hawthornmast/administration/metrics.py
+++ b/src/hawthornmast/administration/metrics.py
@@ -6,12 +6,14 @@
 
 import enum
 
+import attrs
 import prometheus_client
 from prometheus_client import CollectorRegistry
 
 from hawthornmast.catalogue import Entry
 from hawthornmast.catalogue import Service
 from hawthornmast.common import Outcome
+from hawthornmast.common import Rank
 
 # Up to the longest deadline in the examples; finest about the latency target
 # of 2.5 ms.
@@ -94,6 +96,18 @@
     RECEIVED = "received"
 
 
+@attrs.frozen(kw_only=True)
+class _Series:
+    """What a request with one set of labels counts in."""
+
+    requests: prometheus_client.Counter
+    seconds: prometheus_client.Histogram
+    waits: prometheus_client.Histogram | None
+
+
+_Key = tuple[str, str, Rank, Outcome, bool]
+
+
 class Metrics:
     """All metrics of one process in a registry of their own.
 
@@ -159,6 +173,8 @@
             "Highest revision of the platform that is in effect",
             registry=self.registry,
         )
+        # Finding a series by its labels costs more than counting in it.
+        self._series: dict[_Key, _Series] = {}
         self._peer_bytes = prometheus_client.Counter(
             "hawthornmast_peer_bytes_total",
             "Bytes on streams to other daemons",
@@ -188,11 +204,22 @@
         queue_seconds
             Its wait for a slot; None when it did not ask for one.
         """
-        names = (service.name, entry.name)
-        self._requests.labels(*names, entry.rank.label, outcome.value).inc()
-        self._seconds.labels(*names).observe(seconds)
-        if queue_seconds is not None:
-            self._waits.labels(*names).observe(queue_seconds)
+        waited = queue_seconds is not None
+        key = (service.name, entry.name, entry.rank, outcome, waited)
+        series = self._series.get(key)
+        if series is None:
+            names = (service.name, entry.name)
+            series = self._series[key] = _Series(
+                requests=self._requests.labels(
+                    *names, entry.rank.label, outcome.value
+                ),
+                seconds=self._seconds.labels(*names),
+                waits=self._waits.labels(*names) if waited else None,
+            )
+        series.requests.inc()
+        series.seconds.observe(seconds)
+        if series.waits is not None and queue_seconds is not None:
+            series.waits.observe(queue_seconds)
 
     def count_refusal(
         self,
@@ -234,6 +261,8 @@
 
     def forget_service(self, name: str) -> None:
         """Drop the series of a service that this daemon no longer serves."""
+        for key in [key for key in self._series if key[0] == name]:
+            del self._series[key]
         for metric in (
             self._requests,
             self._refusals,
--- a/src/hawthornmast/administration/tests/test_metrics.py
+++ b/src/hawthornmast/administration/tests/test_metrics.py
@@ -63,3 +63,20 @@
         assert "billing" not in text
         assert 'hawthornmast_peer_bytes_total{direction="sent"} 7.0' in text
         assert "hawthornmast_configuration_revision 12.0" in text
+
+    def test_service_that_comes_back_is_counted_again(self):
+        # Guards against counting in a series that was dropped.
+        metrics = administration.Metrics()
+        for seconds in (0.1, 0.2):
+            metrics.count_request(
+                SERVICE, ENTRY, outcome=Outcome.COMPLETE, seconds=seconds
+            )
+            metrics.forget_service("billing")
+        metrics.count_request(
+            SERVICE, ENTRY, outcome=Outcome.COMPLETE, seconds=0.3
+        )
+        lines = _render(metrics)
+        assert (
+            'hawthornmast_requests_total{entry="charge",outcome="complete",'
+            'rank="urgent",service="billing"} 1.0' in lines
+        )
