Drop the oldest request record in constant time

A dict whose first keys are deleted searches past all of them for its next first key, so that a full log searched thousands of places per request.

append on a full log, 9 repeats of 4,000 calls: 6.89 us before (3.40 to 7.26), 0.55 us after (0.49 to 0.69).

--- a/src/hawthornmast/administration/requests.py
+++ b/src/hawthornmast/administration/requests.py
@@ -1,5 +1,6 @@
 """Bounded record of the latest requests of one daemon."""
 
+from collections import OrderedDict
 from collections.abc import Callable
 
 import attrs
@@ -73,7 +74,8 @@
             raise ValueError(f"capacity is {capacity}, allowed: 1 or more")
         self.capacity = capacity
         self._clock = clock
-        self._records: dict[str, RequestRecord] = {}
+        # A dict that loses its first key searches longer for each next one.
+        self._records: OrderedDict[str, RequestRecord] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._records)
@@ -83,7 +85,7 @@
         self._records.pop(record.request_id, None)
         self._records[record.request_id] = record
         if len(self._records) > self.capacity:
-            del self._records[next(iter(self._records))]
+            self._records.popitem(last=False)
 
     def find(self, request_id: str) -> RequestRecord | None:
         """Return the record of a request while it is kept."""
