Keep the floor during the slow start of many upstreams

Cause: each new or returning upstream ramps from a tenth of its slots, whatever the others do. After all ten upstreams of a service were replaced, one tenth of its capacity was usable though its floor was 0.7. Ruled out: no ramp for listed upstreams, since cold starts look like faults. After: ramps and ejections together take at most the budget, and a share of slots is rounded up, so the sum never falls below the floor.

--- a/src/hawthornmast/health/monitor.py
+++ b/src/hawthornmast/health/monitor.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 import functools
+import math
 import random
 from typing import Any
 
@@ -85,6 +86,7 @@
         self._audit = audit
         self._on_change = on_change
         self._view = ""
+        self._ramp_part = 1.0
         self._states: dict[str, UpstreamState] = {}
         self._watched: set[str] = set()
         self._baseline = LatencyBaseline()
@@ -354,6 +356,8 @@
             elif not ejected and upstream_id in before:
                 self._end_ejection(state, now)
             state.was_ejected = ejected
+        self._limit_ramps(now)
+        for upstream_id, state in self._states.items():
             if self._publish(state, now) == _NORMAL and (
                 state.score.level < scores.LOW
             ):
@@ -361,6 +365,22 @@
             else:
                 self._watched.add(upstream_id)
 
+    def _limit_ramps(self, now: float) -> None:
+        """Let slow start take no more capacity than ejections leave.
+
+        After a restart of all upstreams their ramps together would leave
+        the service far below its floor.
+        """
+        states = self._states.values()
+        missing = sum(
+            1.0 - state.holdoff.get_weight(now)
+            for state in states
+            if not state.was_ejected
+        )
+        ejected = sum(state.was_ejected for state in states)
+        room = max(0, self.budget.permits.budget - ejected)
+        self._ramp_part = min(1.0, room / missing) if missing else 1.0
+
     def _start_ejection(self, state: UpstreamState, now: float) -> None:
         state.holdoff.start(now)
         holder = self.budget.find_holder(state.upstream_id, now)
@@ -409,8 +429,13 @@
         if now < state.ejected_until:
             return _EJECTED
         if now - state.holdoff.ramp_from < holdoff.RAMP_S:
-            weight = round(state.holdoff.get_weight(now), 1)
-            return Standing(avoided=now < state.avoid_until, weight=weight)
+            missing = 1.0 - state.holdoff.get_weight(now)
+            # In steps, so that few changes are published; up, so that no
+            # more capacity is missing than the budget allows.
+            weight = math.ceil((1.0 - missing * self._ramp_part) * 10) / 10
+            return Standing(
+                avoided=now < state.avoid_until, weight=min(1.0, weight)
+            )
         return _AVOIDED if now < state.avoid_until else _NORMAL
 
     def _send(self, now: float, *, at_once: bool = False) -> None:
--- a/src/hawthornmast/health/tests/test_monitor.py
+++ b/src/hawthornmast/health/tests/test_monitor.py
@@ -87,6 +87,25 @@
         assert acts.count(Act.EJECT) >= 2
         assert Act.RETURN in acts
 
+    @pytest.mark.parametrize("replaced", [2, 5, 10])
+    def test_keep_floor_while_new_upstreams_ramp(self, replaced):
+        # Guards against a rolling restart of the upstreams whose slow start
+        # takes away more capacity than the floor allows.
+        service = Service(name="billing", owner="team", floor=0.7)
+        sim = Simulation(1, service)
+        upstreams = make_upstreams(10 + replaced)
+        monitor = sim.start("a")
+        monitor.update(upstreams[:10], ["a"], view="1")
+        sim.run_until(sim.now + 20)
+        listed = upstreams[replaced:]
+        monitor.update(listed, ["a"], view="2")
+        begin = sim.now
+        while sim.now < begin + 11:
+            weights = [monitor.standing(u.upstream_id).weight for u in listed]
+            assert sum(weights) >= 7 - 1e-9
+            sim.run_until(sim.now + 0.35)
+        assert sum(weights) == 10
+
     def test_keep_floor_when_more_fail(self):
         bad = ("u1", "u2", "u3", "u4")
         sim = run(lambda _, u: FAILED if u in bad else OK, seconds=3.0)
--- a/src/hawthornmast/limits/pool.py
+++ b/src/hawthornmast/limits/pool.py
@@ -36,7 +36,7 @@
         if standing.weight >= 1.0 or allowed <= 0:
             return max(allowed, 0)
         # One slot stays usable so that trial requests reach the upstream.
-        return max(1, int(allowed * standing.weight))
+        return max(1, math.ceil(allowed * standing.weight - 1e-9))
 
 
 class UpstreamPool:
