Confirm a group's lists by the platform while a member is silent

Cause: owners confirm their view to each other, and a crashed member stays listed for as long as the list lags. Until then no owner of its groups held a valid permit, so a failing upstream was only avoided. Ruled out: confirmation by a majority of the members; after a change of the list two groups without a common majority could both eject. A platform that answers with an older revision than the accepted one confirms nothing.

--- a/src/hawthornmast/configuration/platform.py
+++ b/src/hawthornmast/configuration/platform.py
@@ -33,6 +33,8 @@
 
 _READ_CLIENTS = 8
 
+_POLL = "&wait=0"
+
 Requester = Callable[[str, float], Awaitable[Result[Response, StepError]]]
 
 
@@ -58,7 +60,7 @@
     async def request(
         self, target: str, timeout: float
     ) -> Result[Response, StepError]:
-        if target.startswith("/v1/changes"):
+        if target.startswith("/v1/changes") and not target.endswith(_POLL):
             return await self._watch.request("GET", target, timeout=timeout)
         async with self._limiter:
             client = self._idle.pop()
@@ -110,6 +112,12 @@
         self.reachable = page.is_ok()
         return page
 
+    async def poll(self, after: int) -> Result[ChangePage, StepError]:
+        """Return the changes past a revision at once, beside any watch."""
+        target = f"/v1/changes?after={after}{_POLL}"
+        answer = _check_status(await self._request(target, TIMEOUT_S))
+        return answer.and_then(_parse_page)
+
     async def read(self, key: str) -> Result[tuple[int, bytes], StepError]:
         """Return the revision and the content of a value."""
         target = "/v1/values/" + urllib.parse.quote(key)
--- a/src/hawthornmast/daemon/member.py
+++ b/src/hawthornmast/daemon/member.py
@@ -20,6 +20,7 @@
 from hawthornmast.configuration import Distributor
 from hawthornmast.configuration import PlatformClient
 from hawthornmast.daemon import messages
+from hawthornmast.daemon.confirmation import ViewConfirmation
 from hawthornmast.daemon.explanation import Explanation
 from hawthornmast.daemon.reports import EjectionMeter
 from hawthornmast.daemon.reports import Reporter
@@ -120,15 +121,23 @@
             on_accepted=self._apply_document,
             audit=self.audit,
         )
+        self.platform = PlatformClient.connect(
+            settings.platform.host, settings.platform.port
+        )
+        self.confirmation = ViewConfirmation(
+            platform=self.platform,
+            store=self.store,
+            services=self.services,
+            reachable=self.network.reachable,
+        )
         self.distributor = self._make_distributor()
         self.server = self._make_server()
         self.administration = self._make_administration()
 
     def _make_distributor(self) -> Distributor:
-        platform = self.settings.platform
         return Distributor(
             store=self.store,
-            platform=PlatformClient.connect(platform.host, platform.port),
+            platform=self.platform,
             post=self.network.post,
             ask=self.network.ask,
             is_needed=self.is_needed,
@@ -211,6 +220,7 @@
             await self.network.start(nursery)
         await self.distributor.start(nursery)
         nursery.start_soon(self._tick_forever)
+        nursery.start_soon(self.confirmation.run)
         await self.distributor.ready()
         self._apply_daemons()
         with _naming("instance.port", self.instance.port):
@@ -251,6 +261,7 @@
     async def close(self) -> None:
         """Close all ports and streams; requests in flight are cut."""
         self._stopped.set()
+        self.confirmation.close()
         if self._serving:
             await self.server.close()
         await self.distributor.close()
--- a/src/hawthornmast/daemon/runtime.py
+++ b/src/hawthornmast/daemon/runtime.py
@@ -111,6 +111,11 @@
         """Identifiers of the daemons that serve the service."""
         return self._group
 
+    @property
+    def view(self) -> str:
+        """Name of the published lists that are in force."""
+        return self._view
+
     @property
     def upstreams(self) -> tuple[Upstream, ...]:
         """The listed upstreams, with leaving ones marked."""
