Probe health endpoints for upstreams that leave

Cause: an upstream that announces its leave only by its health endpoint was still selected, since nothing asked it. Ruled out: ejecting by the health response, which lags and misleads; each owner probing each upstream, which grows with the owners. The document names the endpoint by health_path; without it nothing is probed.

--- a/src/hawthornmast/catalogue/service.py
+++ b/src/hawthornmast/catalogue/service.py
@@ -147,6 +147,9 @@
     not_run_header
         Name and value of the response header by which an upstream certifies
         that it did not run a request; None when its upstreams have none.
+    health_path
+        Path by which an upstream is asked whether it leaves; None when its
+        upstreams have none.
     queue_limit
         Requests of all entries that may wait in one daemon.
     entries
@@ -165,6 +168,9 @@
     not_run_header: tuple[str, str] | None = attrs.field(
         default=None, metadata=describe(rules.Header())
     )
+    health_path: str | None = attrs.field(
+        default=None, metadata=describe(_PATH)
+    )
     queue_limit: int = attrs.field(default=256, metadata=describe(_QUEUE))
     entries: tuple[Entry, ...] = ()
     revision: int = 0
--- a/src/hawthornmast/daemon/member.py
+++ b/src/hawthornmast/daemon/member.py
@@ -22,6 +22,7 @@
 from hawthornmast.daemon import messages
 from hawthornmast.daemon.confirmation import ViewConfirmation
 from hawthornmast.daemon.explanation import Explanation
+from hawthornmast.daemon.probes import LeavingProber
 from hawthornmast.daemon.reports import EjectionMeter
 from hawthornmast.daemon.reports import Reporter
 from hawthornmast.daemon.runtime import Links
@@ -130,6 +131,11 @@
             services=self.services,
             reachable=self.network.reachable,
         )
+        self.prober = LeavingProber(
+            services=self.services,
+            self_id=self.instance.instance_id,
+            reachable=self.network.reachable,
+        )
         self.distributor = self._make_distributor()
         self.server = self._make_server()
         self.administration = self._make_administration()
@@ -221,6 +227,7 @@
         await self.distributor.start(nursery)
         nursery.start_soon(self._tick_forever)
         nursery.start_soon(self.confirmation.run)
+        nursery.start_soon(self.prober.run)
         await self.distributor.ready()
         self._apply_daemons()
         with _naming("instance.port", self.instance.port):
@@ -262,6 +269,7 @@
         """Close all ports and streams; requests in flight are cut."""
         self._stopped.set()
         self.confirmation.close()
+        self.prober.close()
         if self._serving:
             await self.server.close()
         await self.distributor.close()
--- a/src/hawthornmast/daemon/runtime.py
+++ b/src/hawthornmast/daemon/runtime.py
@@ -156,9 +156,11 @@
         if budget is not None:
             budget.record_completion()
 
-    def note_leaving(self, upstream_id: str) -> None:
+    def note_leaving(
+        self, upstream_id: str, *, step: str = "read-response"
+    ) -> None:
         """Stop using an upstream that announced that it leaves."""
-        if not self.mark_leaving(upstream_id, peer="", step="read-response"):
+        if not self.mark_leaving(upstream_id, peer="", step=step):
             return
         notice = messages.UpstreamLeaving(
             service=self.service.name, upstream_id=upstream_id
--- /dev/null
+++ b/src/hawthornmast/daemon/tests/test_probes.py
@@ -0,0 +1,98 @@
+"""Tests of the probes for upstreams that leave."""
+
+import attrs
+import pytest
+
+from hawthornmast.catalogue import Service
+from hawthornmast.common import Upstream
+from hawthornmast.daemon import probes
+from hawthornmast.http import Response
+from standins.upstream import UpstreamStandIn
+
+
+class _Runtime:
+    def __init__(self, upstreams, *, group=("a", "b"), health_path="/health"):
+        self.upstreams = upstreams
+        self.group = group
+        self.service = Service(name="s", owner="o", health_path=health_path)
+        self.left = []
+
+    def note_leaving(self, upstream_id, *, step):
+        self.left.append(upstream_id)
+
+
+async def _start(nursery, count):
+    standins, upstreams = [], []
+    for number in range(count):
+        standin = UpstreamStandIn(slots=1)
+        await standin.start(nursery)
+        standins.append(standin)
+        upstreams.append(
+            Upstream(
+                upstream_id=f"u{number}",
+                zone="z",
+                host="127.0.0.1",
+                port=standin.port,
+                slots=1,
+            )
+        )
+    return standins, upstreams
+
+
+def _make_prober(runtime, name, *, reachable=("a", "b")):
+    return probes.LeavingProber(
+        services=[runtime],
+        self_id=name,
+        reachable=lambda instance_id: instance_id in reachable,
+    )
+
+
+class TestLeavingProber:
+    async def test_finds_upstreams_that_leave_without_work(self, nursery):
+        # Guards against new work for an upstream that announces its leave
+        # only by its health endpoint, and against an ejection by a probe.
+        standins, upstreams = await _start(nursery, 3)
+        for standin, faults in (
+            (standins[0], {"leaving": True}),
+            (standins[1], {"health": 500}),
+        ):
+            standin.faults = attrs.evolve(standin.faults, **faults)
+        runtime = _Runtime(upstreams)
+        for name in runtime.group:
+            await _make_prober(runtime, name).probe_all()
+        assert runtime.left == ["u0"]
+        nursery.cancel_scope.cancel()
+
+    async def test_takes_over_for_an_owner_that_is_gone(self, nursery):
+        standins, upstreams = await _start(nursery, 6)
+        for standin in standins:
+            standin.faults = attrs.evolve(standin.faults, leaving=True)
+        runtime = _Runtime(upstreams)
+        await _make_prober(runtime, "a", reachable=("a",)).probe_all()
+        assert sorted(runtime.left) == [u.upstream_id for u in upstreams]
+        nursery.cancel_scope.cancel()
+
+    async def test_each_upstream_is_probed_by_one_owner(self, nursery):
+        # Guards against probes that grow with the number of owners.
+        standins, upstreams = await _start(nursery, 6)
+        runtime = _Runtime(upstreams)
+        for name in runtime.group:
+            await _make_prober(runtime, name).probe_all()
+        assert [standin.accepted for standin in standins] == [1] * 6
+        nursery.cancel_scope.cancel()
+
+
+class TestAnnouncesLeave:
+    @pytest.mark.parametrize(
+        ("body", "headers", "leaves"),
+        [
+            (b"{}", (("Upstream-State", "leaving"),), True),
+            (b'{"leaving": true}', (), True),
+            (b'{"leaving": "no"}', (), False),
+            (b"[1]", (), False),
+            (b"\xff", (), False),
+        ],
+    )
+    def test_reads_header_or_body(self, body, headers, leaves):
+        response = Response(status=200, headers=headers, body=body)
+        assert probes.announces_leave(response) is leaves
