--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -152,9 +152,14 @@
     parser.add_argument(
         "--zone", action="store_true", help="one zone of 450 daemons only"
     )
+    parser.add_argument(
+        "--quick", action="store_true", help="only the size of the aim"
+    )
     options = parser.parse_args()
     rows = [measure_memory()]
-    if options.zone:
+    if options.quick:
+        rows.append(run_size(AIM_DAEMONS, seed=options.seed, changes=3))
+    elif options.zone:
         rows.append(run_size(450, zones=1, seed=options.seed, changes=3))
     else:
         sizes = [run_size(count, seed=options.seed) for count in SIZES]
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -165,9 +165,13 @@
     rows = []
     with ProcessPoolExecutor(options.workers) as pool:
         seeds = [options.seed] * len(jobs)
-        for row in pool.map(run_job, seeds, jobs):
-            rows.append(row)
-            print(json.dumps(row), flush=True)
+        try:
+            for row in pool.map(run_job, seeds, jobs):
+                rows.append(row)
+                print(json.dumps(row), flush=True)
+        except KeyboardInterrupt:
+            pool.shutdown(cancel_futures=True)
+            return 2
     return 1 if any(is_missed(row) for row in rows) else 0
 
 
