Connect to upstreams without trio's address resolution

Published upstreams have IP addresses, which the lists check, so that the two look-ups of trio's connect find nothing new. A non-idempotent request connects each time, and its added latency is the higher one.

--- a/src/hawthornmast/forwarding/sockets.py
+++ b/src/hawthornmast/forwarding/sockets.py
@@ -5,11 +5,26 @@
 functions only wait when the kernel makes them.
 """
 
+import os
 import socket
 
 import trio
 
 
+async def connect(sock: socket.socket, host: str, port: int) -> None:
+    """Connect to an IP address; a name would block the event loop.
+
+    When cancelled, the caller must close the socket.
+    """
+    try:
+        sock.connect((host, port))
+    except BlockingIOError:
+        await trio.lowlevel.wait_writable(sock)
+        number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if number:
+            raise OSError(number, os.strerror(number)) from None
+
+
 async def receive(sock: socket.socket, size: int) -> bytes:
     """Return the next bytes; empty at the end of the connection."""
     while True:
--- a/src/hawthornmast/forwarding/upstream.py
+++ b/src/hawthornmast/forwarding/upstream.py
@@ -72,7 +72,6 @@
         pool.open += 1
 
     def close(self) -> None:
-        # A cancelled connect has closed the socket already.
         if not self.closed:
             self.closed = True
             self.pool.open -= 1
@@ -334,9 +333,7 @@
         try:
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             with trio.move_on_after(self._connect_s):
-                await trio.socket.from_stdlib_socket(raw).connect(
-                    (upstream.host, upstream.port)
-                )
+                await sockets.connect(raw, upstream.host, upstream.port)
                 connected = True
             if not connected:
                 raise TimeoutError(f"no connection in {self._connect_s} s")
