Give a request's cancel scope its deadline when it is made

Setting the deadline of an existing scope passes through a context manager of trio. A scope is now opened by the connection once the deadline is known.

--- a/src/hawthornmast/forwarding/connection.py
+++ b/src/hawthornmast/forwarding/connection.py
@@ -211,11 +211,13 @@
         elif request.target.startswith(pages.ROOT):
             answer = host.answer_page(request)
         else:
-            self.running = trio.CancelScope()
             host.watch(self)
             try:
                 answer = await host.forwarder.run(
-                    request, trace, self.running, self._make_deliver(request)
+                    request,
+                    trace,
+                    self._open_scope,
+                    self._make_deliver(request),
                 )
             finally:
                 host.unwatch(self)
@@ -239,6 +241,10 @@
             return False
         return self._is_reusable()
 
+    def _open_scope(self, deadline: float) -> trio.CancelScope:
+        self.running = trio.CancelScope(deadline=deadline)
+        return self.running
+
     def _is_reusable(self) -> bool:
         connection = self._connection
         return (
--- a/src/hawthornmast/forwarding/forwarder.py
+++ b/src/hawthornmast/forwarding/forwarder.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import math
 
 import attrs
 from result import Err
@@ -48,6 +49,8 @@
 RELAY_S = 5.0
 
 Deliver = Callable[[Answer, Exchange], Awaitable[bool]]
+# Opens the scope that ends a request at a time.
+OpenScope = Callable[[float], trio.CancelScope]
 
 
 @attrs.define(eq=False)
@@ -134,7 +137,7 @@
         self,
         request: ClientRequest,
         trace: Trace,
-        scope: trio.CancelScope,
+        open_scope: OpenScope,
         deliver: Deliver,
     ) -> Answer:
         """Run a request and return its answer.
@@ -143,24 +146,25 @@
         ----------
         trace
             Filled on the way; ``trace.left`` tells that the client left.
-        scope
-            Not entered yet; cancelling it ends the request.
+        open_scope
+            Returns the request's scope, not entered yet; cancelling it ends
+            the request. A deadline set later would cost more.
         deliver
             Streams a long response to the client; it returns whether the
             response was delivered to its end.
         """
         if request.ticket is None:
-            return await self._run(request, trace, scope, deliver)
+            return await self._run(request, trace, open_scope, deliver)
         used = self._tickets.redeem(
             request.ticket, request.service, digest_request(request)
         )
         if isinstance(used, Rejected):
             return self._reject(used, request.service)
         if not isinstance(used, FirstUse):
-            return await self._repeat(request, used.record, scope)
+            return await self._repeat(request, used.record, open_scope)
         answer: Answer | None = None
         try:
-            answer = await self._run(request, trace, scope, deliver)
+            answer = await self._run(request, trace, open_scope, deliver)
         finally:
             # A streamed answer is not kept.
             kept = None if answer is None or answer.sent else answer
@@ -174,14 +178,14 @@
         self,
         request: ClientRequest,
         trace: Trace,
-        scope: trio.CancelScope,
+        open_scope: OpenScope,
         deliver: Deliver,
     ) -> Answer:
         selected = self._select(request)
         if isinstance(selected, Answer):
             return selected
         if selected is None:
-            return await self._relay(request, scope, trace, deliver)
+            return await self._relay(request, open_scope, trace, deliver)
         runtime, entry = selected
         service = runtime.service
         trace.entry, trace.owner = entry.name, entry.owner
@@ -190,20 +194,20 @@
         if request.timeout_s is not None:
             allowed_s = min(allowed_s, request.timeout_s)
         deadline = request.arrived + allowed_s
-        scope.deadline = deadline
         return await self._run_entry(
-            request, trace, scope, deliver, runtime, entry, deadline
+            request, trace, open_scope, deliver, runtime, entry, deadline
         )
 
     async def _repeat(
         self,
         request: ClientRequest,
         record: TicketRecord,
-        scope: trio.CancelScope,
+        open_scope: OpenScope,
     ) -> Answer:
+        deadline = math.inf
         if request.timeout_s is not None:
-            scope.deadline = request.arrived + request.timeout_s
-        with scope:
+            deadline = request.arrived + request.timeout_s
+        with open_scope(deadline):
             await record.done.wait()
         if record.answer is not None:
             answer: Answer = record.answer
@@ -230,7 +234,7 @@
         self,
         request: ClientRequest,
         trace: Trace,
-        scope: trio.CancelScope,
+        open_scope: OpenScope,
         deliver: Deliver,
         runtime: ServiceRuntime,
         entry: Entry,
@@ -240,7 +244,7 @@
         progress = Progress()
         headers = filter_headers(request.headers)
         answer: Answer | None = None
-        with scope:
+        with open_scope(deadline):
             while answer is None:
                 progress = Progress()
                 answer = await self._attempt(
@@ -401,7 +405,7 @@
     async def _relay(
         self,
         request: ClientRequest,
-        scope: trio.CancelScope,
+        open_scope: OpenScope,
         trace: Trace,
         deliver: Deliver,
     ) -> Answer:
@@ -419,9 +423,9 @@
         )
         headers.append((relay.HEADER, mark))
         allowed_s = min(RELAY_S, request.timeout_s or RELAY_S)
-        scope.deadline = request.arrived + allowed_s
+        deadline = request.arrived + allowed_s
         progress = Progress()
-        with scope:
+        with open_scope(deadline):
             # Owners of the own zone come first; another is tried only when
             # no connection could be made.
             for owner in owners[:MAX_ATTEMPTS]:
@@ -429,11 +433,9 @@
                 progress = Progress()
                 sent = await self._upstreams.send(
                     relay.as_upstream(owner),
-                    build_request(
-                        request, headers, scope.deadline - self._clock()
-                    ),
+                    build_request(request, headers, deadline - self._clock()),
                     progress,
-                    deadline=scope.deadline,
+                    deadline=deadline,
                     fresh=False,
                     buffer_bytes=(
                         OLD_BUFFER_BYTES if request.old else BUFFER_BYTES
