Start daemons again only after the load of a shutdown schedule

One of 2,160 requests ended unknown with former-incarnation: the schedule started the daemon again under load, and the client held a ticket of the former process. That is another fault than the one under test.

--- a/tools/proofs/shutdown.py
+++ b/tools/proofs/shutdown.py
@@ -62,11 +62,13 @@
             assert member.process is not None
             member.process.signal(signal.SIGTERM)
         late = await _wait_ended(leaving)
-        for member in leaving:
-            fleet.start_member(member)
-        for member in leaving:
-            await fleet.wait_serving(member)
     await load.close()
+    # Not under load: a ticket of the former process that a client still
+    # holds ends unknown, which would look like a cut request.
+    for member in leaving:
+        fleet.start_member(member)
+    for member in leaving:
+        await fleet.wait_serving(member)
     name = f"shutdown of {count} seed={seed}"
     cut = [
         f"{call.key} ended {call.verdict}: {call.reason}"
