--- a/tools/proofs/__main__.py
+++ b/tools/proofs/__main__.py
@@ -74,6 +74,7 @@
     ),
     *(Case(name, run, 4) for name, run in leaving.SCENARIOS.items()),
     Case("shutdown", shutdown.run_shutdown, 6, 2),
+    Case("shutdown-of-all", shutdown.run_in_flight),
     Case("configuration-6", publishing.run_configuration, 1, 2),
 )
 
--- a/tools/proofs/leaving.py
+++ b/tools/proofs/leaving.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from hawthornmast.common import State
 from tools.deployments import BRAMBLEWICK
 from tools.fleet import Backend
 from tools.fleet import Fleet
@@ -55,12 +56,7 @@
     """Return the times of the first sign and of the last execution."""
     name = backend.upstream.upstream_id
     sign = time.monotonic()
-    if way == "list":
-        await fleet.publish_upstreams(backend.service, leaving=(name,))
-    elif way == "header":
-        await fleet.set_faults(backend, leaving=True)
-    else:
-        await fleet.set_faults(backend, leaving_health=True)
+    await _announce(fleet, backend, way)
     await trio.sleep(WATCH_S)
     starts = [
         run["start"]
@@ -74,6 +70,61 @@
     return sign, max(starts, default=None)
 
 
+async def _announce(fleet: Fleet, backend: Backend, way: str) -> None:
+    name = backend.upstream.upstream_id
+    if way == "list":
+        await fleet.publish_upstreams(backend.service, leaving=(name,))
+    elif way == "header":
+        await fleet.set_faults(backend, leaving=True)
+    else:
+        await fleet.set_faults(backend, leaving_health=True)
+
+
+async def check_stopped(way: str, trial: Trial, limit_s: float) -> list[str]:
+    """Return what is wrong after all owners know that an upstream leaves.
+
+    Unlike ``run_way`` it needs no bound that a busy machine could break.
+    """
+    deployment = shrink(BRAMBLEWICK, catalogue=4)
+    async with open_fleet(deployment, trial, daemons=3) as fleet:
+        backend = fleet.backends[0]
+        name = backend.upstream.upstream_id
+        load = Load(fleet, rate=RATE, seed=trial.seed, name=way)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(load.run, 100_000)
+            await _announce(fleet, backend, way)
+            with trio.move_on_after(limit_s) as scope:
+                while not await _all_know(fleet, backend):
+                    await trio.sleep(0.05)
+            # A request that was written before may still arrive.
+            await trio.sleep(0.2)
+            before = await _count_runs(fleet, name)
+            await trio.sleep(1.0)
+            after = await _count_runs(fleet, name)
+            nursery.cancel_scope.cancel()
+        await load.close()
+    problems = []
+    if scope.cancelled_caught:
+        problems.append(f"not every owner knows of it after {limit_s} s")
+    if after > before:
+        problems.append(f"{after - before} new requests in the next second")
+    return problems
+
+
+async def _all_know(fleet: Fleet, backend: Backend) -> bool:
+    path = f"{backend.service}/{backend.upstream.upstream_id}"
+    for member in fleet.members:
+        done = await fleet.ask_admin(member, f"/v1/explain/upstreams/{path}")
+        state = done.unwrap()["upstream"]["upstream"]["state"]
+        if state != State.LEAVING:
+            return False
+    return True
+
+
+async def _count_runs(fleet: Fleet, name: str) -> int:
+    return sum(run["upstream"] == name for run in await fleet.read_runs())
+
+
 def _judge(name: str, sign: float, last: float | None) -> Finding:
     seconds = 0.0 if last is None else last - sign
     return Finding(
--- a/tools/proofs/schedules.py
+++ b/tools/proofs/schedules.py
@@ -1,5 +1,8 @@
 """Runs seeded schedules of faults under load and judges each."""
 
+from collections.abc import Iterable
+from typing import Any
+
 import trio
 
 from tools.deployments import BRAMBLEWICK
@@ -120,7 +123,11 @@
     return late, round(slowest, 2)
 
 
-async def run_faults(trial: Trial) -> list[Finding]:
+async def run_faults(
+    trial: Trial,
+    faults: Iterable[dict[str, Any]] = UPSTREAM_FAULTS,
+    requests: int = FAULT_REQUESTS,
+) -> list[Finding]:
     """Put each upstream fault into all upstreams in turn, under load."""
     found: list[Finding] = []
     deployment = shrink(BRAMBLEWICK, billing=4, catalogue=4)
@@ -131,7 +138,7 @@
         service_ms=5.0,
         keyed_bytes=KEYED_BYTES,
     ) as fleet:
-        for number, fault in enumerate(UPSTREAM_FAULTS):
+        for number, fault in enumerate(faults):
             for backend in fleet.backends:
                 await fleet.set_faults(backend, **fault)
             load = Load(
@@ -143,7 +150,7 @@
                 keyed=True,
                 single=True,
             )
-            await load.run(FAULT_REQUESTS)
+            await load.run(requests)
             await load.close()
             for backend in fleet.backends:
                 await fleet.set_faults(backend, **NO_FAULTS)
--- a/tools/proofs/shutdown.py
+++ b/tools/proofs/shutdown.py
@@ -16,6 +16,7 @@
 from tools.proofs.findings import open_fleet
 from tools.proofs.findings import shrink
 from tools.proofs.findings import Trial
+from tools.proofs.once import Caller
 
 LENGTH_S = 9.0
 RATE = 40.0
@@ -92,6 +93,44 @@
     ]
 
 
+async def run_in_flight(trial: Trial) -> list[Finding]:
+    """End all daemons of a fleet at once while each runs requests."""
+    deployment = shrink(BRAMBLEWICK, billing=4)
+    async with open_fleet(
+        deployment, trial, daemons=3, service_ms=700.0, drain_grace_ms=200
+    ) as fleet:
+        caller = Caller(fleet, "in-flight")
+        tickets = [
+            (member, f"in-flight-{number}-{member.instance.zone}", ticket)
+            for member in fleet.members
+            for number in range(3)
+            for ticket in [await caller.take_ticket(member)]
+        ]
+        async with trio.open_nursery() as nursery:
+            for member, key, ticket in tickets:
+                nursery.start_soon(caller.send, member, key, ticket)
+            for _, key, _ in tickets:
+                await caller.wait_running(key)
+            for member in fleet.members:
+                assert member.process is not None
+                member.process.signal(signal.SIGTERM)
+        late = await _wait_ended(fleet.members)
+        cut = [
+            f"{key} ended {ends}"
+            for key, ends in caller.ends.items()
+            if ends != ["complete"]
+        ]
+        return [
+            *await caller.judge(),
+            Finding(
+                promise="graceful-shutdown",
+                scenario="all daemons at once with requests in flight",
+                violations=cut + late,
+                figures={"in_flight_at_signal": len(tickets)},
+            ),
+        ]
+
+
 async def _count_in_flight(fleet: Fleet, members: list[Member]) -> int:
     count = 0
     for member in members:
