Cut daemons off the platform and publish on up to 44 daemons

Partitions cut only streams between daemons, so that both halves still read the platform and no half ever lacked a revision.

The configuration scenario also runs on 18 and 44 daemons.

--- a/standins/link.py
+++ b/standins/link.py
@@ -1,4 +1,4 @@
-"""Relays in front of the peer ports of daemons, with cuts by direction.
+"""Relays between daemons and to the platform, with cuts by direction.
 
 A cut holds the bytes of one direction back instead of ending the stream, as
 a network does that loses every packet; what was held arrives after the cut
@@ -53,15 +53,22 @@
         host: str,
         port: int,
         stream: trio.SocketStream,
+        *,
+        dialer: str = "",
     ) -> None:
-        """Serve one stream that a daemon dialed to ``owner``."""
+        """Serve one stream that a daemon dialed to ``owner``.
+
+        Without the dialer's name, the first frame of the stream tells it.
+        """
         other: trio.SocketStream | None = None
+        hello = b""
         try:
-            with trio.move_on_after(HELLO_S):
-                hello = await read_hello(stream)
-            if not hello:
-                return
-            dialer = name_dialer(hello)
+            if not dialer:
+                with trio.move_on_after(HELLO_S):
+                    hello = await read_hello(stream)
+                if not hello:
+                    return
+                dialer = name_dialer(hello)
             # A connection is made only when both directions work.
             while {(dialer, owner), (owner, dialer)} & self.cuts:
                 await self._changed.wait()
@@ -139,8 +146,13 @@
     async with trio.open_nursery() as nursery:
         for text in options.relay:
             owner, port, target = text.split("=")
+            dialer, _, owner = owner.rpartition(":")
             forward = functools.partial(
-                relays.forward, owner, options.host, int(target)
+                relays.forward,
+                owner,
+                options.host,
+                int(target),
+                dialer=dialer,
             )
             await nursery.start(
                 functools.partial(
@@ -163,7 +175,10 @@
     parser.add_argument("--host", default="127.0.0.1")
     parser.add_argument("--control-port", type=int, required=True)
     parser.add_argument(
-        "relay", nargs="+", help="instance=port=port of the daemon"
+        "relay",
+        nargs="+",
+        help="[dialer:]owner=port=port of the owner; the dialer must be named"
+        " when it does not open its streams with a hello of a daemon",
     )
     trio.run(run_process, parser.parse_args())
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -29,15 +29,22 @@
 
 SECRET = "demonstration-secret-on-loopback"
 START_S = 30.0
+PLATFORM = "platform"
+"""Name of the platform in cuts."""
+
 DAEMONS_KEY = "instances/daemons"
 
 
 @attrs.define(kw_only=True, eq=False)
 class Member:
-    """A daemon with its process; ``process`` is None before its start."""
+    """A daemon with its process; ``process`` is None before its start.
+
+    Its platform port is that of a relay when the fleet has relays.
+    """
 
     instance: Instance
     admin_port: int
+    platform_port: int
     settings: pathlib.Path
     process: Process | None = None
 
@@ -111,7 +118,7 @@
         ports = iter(
             choose_ports(
                 3
-                + (3 + self._linked) * self._count
+                + (3 + 2 * self._linked) * self._count
                 + 2 * sum(self.deployment.upstreams.values())
             )
         )
@@ -129,7 +136,12 @@
             for number in range(count):
                 self._start_backend(service, number, next(ports), next(ports))
         for number in range(self._count):
-            self._add_member(number, next(ports), next(ports), next(ports))
+            platform_port = self.platform_port
+            if self._linked:
+                platform_port = next(ports)
+            self._add_member(
+                number, next(ports), next(ports), next(ports), platform_port
+            )
         if self._linked:
             await self._start_relays(next(ports), ports)
         await self.publish_all()
@@ -180,7 +192,12 @@
         )
 
     def _add_member(
-        self, number: int, port: int, peer_port: int, admin_port: int
+        self,
+        number: int,
+        port: int,
+        peer_port: int,
+        admin_port: int,
+        platform_port: int,
     ) -> None:
         zones = self.deployment.zones
         instance = Instance(
@@ -192,7 +209,12 @@
         )
         settings = self._folder / f"{instance.instance_id}.toml"
         self.members.append(
-            Member(instance=instance, admin_port=admin_port, settings=settings)
+            Member(
+                instance=instance,
+                admin_port=admin_port,
+                platform_port=platform_port,
+                settings=settings,
+            )
         )
         settings.write_text(
             f"""\
@@ -206,7 +228,7 @@
 
 [platform]
 host = "{HOST}"
-port = {self.platform_port}
+port = {platform_port}
 
 [peers]
 secrets = ["{SECRET}"]
@@ -228,6 +250,10 @@
             relays.append(
                 f"{instance.instance_id}={port}={instance.peer_port}"
             )
+            relays.append(
+                f"{instance.instance_id}:{PLATFORM}="
+                f"{member.platform_port}={self.platform_port}"
+            )
             member.instance = attrs.evolve(instance, peer_port=port)
         self._link_control = control_port
         self._group.start(
@@ -240,7 +266,7 @@
         await self._wait_for(control_port, "/cuts")
 
     async def cut(self, pairs: Iterable[tuple[str, str]]) -> None:
-        """Hold back exactly these directions between daemons."""
+        """Hold back exactly these directions, between daemons or PLATFORM."""
         body = json.dumps(sorted(pairs)).encode()
         done = await fetch(
             HOST, self._link_control, "POST", "/cuts", body=body
--- a/tools/proofs/__main__.py
+++ b/tools/proofs/__main__.py
@@ -57,14 +57,17 @@
     seed: int = 0
 
 
+CONFIGURATION = {
+    size: functools.partial(publishing.run_size, daemons=size)
+    for size in (6, 18, 44)
+}
+"""Scenarios by number of daemons; 44 is today's largest fleet."""
+
 CASES = (
+    Case("floor-virtual-clock", floor.run_simulated, 1200, 4),
+    Case("floor-processes", schedules.run_floor, 4, 2),
     *(
-        Case(f"floor-virtual-clock-{part}", floor.run_simulated, 400, 4)
-        for part in range(1)
-    ),
-    Case("floor-processes", schedules.run_floor, 3, 3),
-    *(
-        Case(f"chaos-{part}", schedules.run_chaos, 8, 2, seed=100 * part)
+        Case(f"chaos-{part}", schedules.run_chaos, 12, 2, seed=100 * part)
         for part in range(3)
     ),
     Case("upstream-faults", schedules.run_faults, 1, 2),
@@ -75,7 +78,10 @@
     *(Case(name, run, 4) for name, run in leaving.SCENARIOS.items()),
     Case("shutdown", shutdown.run_shutdown, 6, 2),
     Case("shutdown-of-all", shutdown.run_in_flight),
-    Case("configuration-6", publishing.run_configuration, 1, 2),
+    *(
+        Case(f"configuration-{size}", run, 1, min(8, size // 3))
+        for size, run in CONFIGURATION.items()
+    ),
 )
 
 FLOOR_DEFECTS = {
@@ -139,7 +145,7 @@
     ),
     Case(
         "configuration/accept-older",
-        publishing.run_configuration,
+        CONFIGURATION[6],
         defect="accept-older",
         promise="configuration",
     ),
--- a/tools/proofs/chaos.py
+++ b/tools/proofs/chaos.py
@@ -15,6 +15,7 @@
 from tools.fleet import Backend
 from tools.fleet import Fleet
 from tools.fleet import Member
+from tools.fleet import PLATFORM
 from tools.proofs import revisions
 
 UPSTREAM_FAULTS: tuple[dict[str, Any], ...] = (
@@ -51,6 +52,7 @@
     "cut_one_way": 2,
     "cut_both_ways": 1,
     "cut_halves": 2,
+    "cut_platform": 1,
     "heal_cuts": 2,
     "platform_down": 1,
     "platform_stale": 1,
@@ -70,6 +72,7 @@
     "cut_one_way": 2,
     "cut_both_ways": 1,
     "cut_halves": 1,
+    "cut_platform": 0.5,
     "heal_cuts": 3,
     "upstream_gray": 8,
 }
@@ -287,6 +290,18 @@
             for a, b in itertools.permutations(names, 2)
             if (a in half) != (b in half)
         }
+        if self._random.random() < 0.5:
+            self._cuts |= {(PLATFORM, name) for name in half}
+        await self._fleet.cut(self._cuts)
+
+    async def _cut_platform(self) -> None:
+        """Cut some daemons off the platform, in one or both directions."""
+        count = self._random.randint(1, len(self._fleet.members) // 2)
+        for member in self._random.sample(self._fleet.members, count):
+            name = member.instance.instance_id
+            self._cuts.add((PLATFORM, name))
+            if self._random.random() < 0.5:
+                self._cuts.add((name, PLATFORM))
         await self._fleet.cut(self._cuts)
 
     async def _heal_cuts(self) -> None:
--- a/tools/proofs/publishing.py
+++ b/tools/proofs/publishing.py
@@ -6,6 +6,7 @@
 
 from tools.deployments import BRAMBLEWICK
 from tools.fleet import Fleet
+from tools.fleet import PLATFORM
 from tools.judge import judge_calls
 from tools.load import Load
 from tools.proofs import revisions
@@ -23,11 +24,6 @@
 this machine runs the whole fleet and other work."""
 
 
-async def run_configuration(trial: Trial) -> list[Finding]:
-    """Publish under load while the platform and the network fail."""
-    return await run_size(trial, daemons=6)
-
-
 async def run_size(trial: Trial, *, daemons: int) -> list[Finding]:
     """Run all steps on a fleet of this size."""
     deployment = shrink(BRAMBLEWICK, billing=3)
@@ -38,7 +34,8 @@
         deployment, trial, daemons=daemons, service_ms=5.0, linked=True
     ) as fleet:
         load = Load(fleet, rate=RATE, seed=trial.seed, name=f"conf-{daemons}")
-        sampler = Sampler(fleet, interval_s=0.1)
+        # The same number of samples a second, whatever the size.
+        sampler = Sampler(fleet, interval_s=0.02 * daemons)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(sampler.run)
             nursery.start_soon(load.run, 100_000)
@@ -137,13 +134,14 @@
 async def cut_halves(
     fleet: Fleet, violations: list[str], figures: dict[str, float]
 ) -> None:
-    """Publish while halves can't reach each other, then heal."""
+    """Publish while one half reaches neither the other nor the platform."""
     names = [m.instance.instance_id for m in fleet.members]
     half = set(names[: len(names) // 2])
+    sides = {name: name in half for name in names} | {PLATFORM: False}
     await fleet.cut(
         (a, b)
-        for a, b in itertools.permutations(names, 2)
-        if (a in half) != (b in half)
+        for a, b in itertools.permutations(sides, 2)
+        if sides[a] != sides[b]
     )
     revision = await revisions.publish_valid(fleet, SERVICE)
     await trio.sleep(3.0)
