--- a/tools/proofs/defects.py
+++ b/tools/proofs/defects.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+import math
 import sys
 from typing import Any
 
@@ -17,6 +18,7 @@
 from hawthornmast.daemon import runtime
 from hawthornmast.forwarding import forwarder
 from hawthornmast.forwarding import tickets
+from hawthornmast.health import permits
 
 
 def _pass_crossed_answers() -> None:
@@ -112,6 +114,22 @@
     _replace(ConfigurationStore, "is_wanted", is_wanted)
 
 
+def _eject_without_permit() -> None:
+    """Eject every upstream that looks failed."""
+
+    def take(self: Any, upstream_id: str, now: float) -> bool:
+        permit = permits._Permit(usable_from=now, upstream_id=upstream_id)
+        self._permits[-1 - len(self._permits)] = permit
+        return True
+
+    def find_deadline(self: Any, upstream_id: str, now: float) -> float:
+        held = [p.upstream_id for p in self._permits.values()]
+        return now + 60.0 if upstream_id in held else -math.inf
+
+    _replace(permits.PermitBook, "take", take)
+    _replace(permits.PermitBook, "find_deadline", find_deadline)
+
+
 def _replace(place: Any, name: str, value: Any) -> None:
     # A name that no longer exists must not turn a control into a plain run.
     getattr(place, name)
@@ -127,6 +145,7 @@
     "ignore-leaving-list": _ignore_leaving_list,
     "stop-at-once": _stop_at_once,
     "accept-older": _accept_older,
+    "eject-without-permit": _eject_without_permit,
 }
 
 
