Reduce the cost of a peer stream and the size of its frames

Cause: two daemons that dial each other kept two streams, each with heartbeats every 0.5 s in both directions; neighbours that only exchange configuration did the same as members of one owner group. Each message carried its field names and was written alone.

A daemon doesn't dial a peer that already dialed it; of two streams opened at once, the side with the higher identifier closes its own. A heartbeat carries its interval: 0.5 s for members of a common owner group, 2 s for other neighbours, each lost after three. Queued messages share one write. Fields are sent by position, and bodies of 256 bytes or more as zlib, with a bound on the expanded size.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -15,6 +15,7 @@
 import random
 import time
 from typing import Any
+import zlib
 
 import attrs
 import trio
@@ -211,9 +212,13 @@
     sent: float
 
 
-def measure_links(*, peers: int, seconds: float = 4.0) -> LinkCost:
+def measure_links(
+    *, peers: int, close: bool = True, seconds: float = 4.0
+) -> LinkCost:
     """Measure a daemon with idle streams to a number of peers.
 
+    Members of an owner group are close, other neighbours are not.
+
     Both ends run in this process; each is charged half of the cost.
     """
 
@@ -233,14 +238,15 @@
             PeerNetwork(instance=item, incarnation=n, secrets=(SECRET,))
             for n, item in enumerate(instances)
         ]
+        near = [item.instance_id for item in instances if close]
         before = read_rss()
         async with trio.open_nursery() as nursery:
             for network in networks:
                 await network.start(nursery)
             for network in networks[1:]:
                 # Group members dial each other.
-                network.set_neighbours(instances[:1])
-                networks[0].set_neighbours(instances[1:])
+                network.set_neighbours(instances[:1], close=near)
+                networks[0].set_neighbours(instances[1:], close=near)
             with trio.fail_after(30):
                 while len(networks[0].connected()) < peers:
                     await trio.sleep(0.1)
@@ -344,7 +350,8 @@
     longest_cpu
         CPU seconds of the costliest single change, which nothing interrupts.
     change_bytes
-        Bytes of the documents that one restart makes the daemon fetch.
+        Bytes of the documents that one restart makes the daemon fetch,
+        compressed as on the peer streams.
     rss
         Resident memory that lists and documents added.
     held
@@ -440,7 +447,7 @@
         gone = instances[1 + number]
         for listed in ([i for i in instances if i != gone], instances):
             key, content = _format_zone(listed, gone.zone)
-            size += len(content)
+            size += len(zlib.compress(content, 1))
             revision += 1
             started = time.process_time()
             daemon.store.accept(key, revision, content, keep=True)
--- a/src/hawthornmast/daemon/member.py
+++ b/src/hawthornmast/daemon/member.py
@@ -306,10 +306,13 @@
     def _connect_peers(self) -> None:
         """Dial the neighbours and the members of all own groups."""
         wanted = {item.instance_id for item in self.directory.neighbours()}
+        close: set[str] = set()
         for runtime in self.services:
-            wanted.update(runtime.group)
-        listed = map(self.directory.daemon, sorted(wanted))
-        self.network.set_neighbours([item for item in listed if item])
+            close.update(runtime.group)
+        listed = map(self.directory.daemon, sorted(wanted | close))
+        self.network.set_neighbours(
+            [item for item in listed if item], close=close
+        )
 
     def _note_peer(self, peer_id: str, reachable: bool) -> None:
         act = Act.PEER_REACHABLE if reachable else Act.PEER_UNREACHABLE
--- a/src/hawthornmast/peers/codec.py
+++ b/src/hawthornmast/peers/codec.py
@@ -2,15 +2,19 @@
 
 A frame is a 4-byte big-endian length of what follows, a 16-byte truncated
 HMAC-SHA256 over the sequence number and the body, and the body. The body is
-msgpack of ``[message name, fields]``.
+msgpack of ``[message name, fields]`` with the fields in the order of their
+class, or the zlib stream of such a body.
 """
 
+from collections.abc import Callable
 import hashlib
 import hmac
 import struct
 from typing import Any
+import zlib
 
 import attrs
+from cattrs import UnstructureStrategy
 from cattrs.preconf import msgpack as cattrs_msgpack
 import msgpack
 from result import Err
@@ -23,6 +27,13 @@
 # The largest platform value is 1 MB; the rest is room for its envelope.
 MAX_FRAME_BYTES = 1_310_720
 MAC_BYTES = 16
+
+# Smaller bodies are mostly counts and digests, which hardly shrink.
+COMPRESS_BYTES = 256
+_COMPRESS_LEVEL = 1
+# First byte of a zlib stream; a msgpack body starts with an array.
+_ZLIB_MARK = 0x78
+
 LENGTH = struct.Struct(">I")
 _SEQUENCE = struct.Struct(">Q")
 
@@ -44,11 +55,37 @@
     """
 
     def __init__(self, *types: type) -> None:
-        self._converter = cattrs_msgpack.make_converter()
+        # Positions instead of field names halve the size of a report.
+        self._converter = cattrs_msgpack.make_converter(
+            unstruct_strat=UnstructureStrategy.AS_TUPLE
+        )
+        self._converter.register_structure_hook_factory(
+            attrs.has, self._make_hook
+        )
         self._types: dict[str, type] = {}
         for message_type in types:
             self.register(message_type)
 
+    def _make_hook(self, cls: type) -> Callable[[Any, Any], Any]:
+        """Return a function that builds a class from a list of its fields."""
+        attrs.resolve_types(cls)
+        fields = [(item.name, item.type) for item in attrs.fields(cls)]
+
+        def build(values: Any, _: Any) -> Any:
+            if not isinstance(values, list) or len(values) != len(fields):
+                raise FrameError(
+                    f"{cls.__name__} has {values!r:.80}, "
+                    f"allowed: a list of {len(fields)} fields"
+                )
+            return cls(
+                **{
+                    name: self._converter.structure(value, kind)
+                    for (name, kind), value in zip(fields, values, strict=True)
+                }
+            )
+
+        return build
+
     def register(self, message_type: type) -> None:
         """Allow a message class; its name must be unique."""
         if not attrs.has(message_type):
@@ -60,7 +97,11 @@
 
     def encode(self, message: Any) -> bytes:
         """Return the msgpack body of a message."""
-        return msgpack.packb(self._flatten(message), use_bin_type=True)
+        body = msgpack.packb(self._flatten(message), use_bin_type=True)
+        if len(body) < COMPRESS_BYTES:
+            return body
+        small = zlib.compress(body, _COMPRESS_LEVEL)
+        return small if len(small) < len(body) else body
 
     def _flatten(self, message: Any) -> Any:
         if message is None:
@@ -76,7 +117,9 @@
     def decode(self, body: bytes) -> Result[Any, StepError]:
         """Return the message of a body that a peer sent."""
         try:
-            tree = msgpack.unpackb(body, raw=False, strict_map_key=False)
+            tree = msgpack.unpackb(
+                _expand(body), raw=False, strict_map_key=False
+            )
             return Ok(self._restore(tree))
         except Exception as error:
             # Any malformed input ends here: msgpack, cattrs and type errors
@@ -99,6 +142,19 @@
         return self._converter.structure(fields, self._types[name])
 
 
+def _expand(body: bytes) -> bytes:
+    """Return the plain body; the bound keeps a small frame small."""
+    if body[:1] != bytes((_ZLIB_MARK,)):
+        return body
+    stream = zlib.decompressobj()
+    plain = stream.decompress(body, MAX_FRAME_BYTES)
+    if not stream.eof or stream.unused_data:
+        raise FrameError(
+            f"compressed body is cut off or over {MAX_FRAME_BYTES} bytes"
+        )
+    return plain
+
+
 def derive_key(secret: str, first: bytes, second: bytes) -> bytes:
     """Return the key for frames from the side that sent ``first``."""
     return hmac.digest(secret.encode(), b"frame" + first + second, "sha256")
--- a/src/hawthornmast/peers/messages.py
+++ b/src/hawthornmast/peers/messages.py
@@ -27,9 +27,18 @@
 
 @attrs.frozen(kw_only=True)
 class Heartbeat:
-    """Sent when a stream has been idle, so that silence means trouble."""
+    """Sent when a stream has been idle, so that silence means trouble.
+
+    Parameters
+    ----------
+    incarnation
+        Random number of the sender's process.
+    interval_s
+        Longest time that the sender leaves the stream idle.
+    """
 
     incarnation: int
+    interval_s: float = 0.5
 
 
 @attrs.frozen(kw_only=True)
--- a/src/hawthornmast/peers/network.py
+++ b/src/hawthornmast/peers/network.py
@@ -31,10 +31,22 @@
 
 HEARTBEAT_S = 0.5
 SILENCE_S = 1.5
-"""Silence after which a peer counts as unreachable."""
+"""Silence after which a close peer counts as unreachable."""
+
+DISTANT_HEARTBEAT_S = 2.0
+"""Interval to peers that only exchange configuration.
+
+A killed process closes its streams at once; only a pause or a partition is
+found by silence, and the exchange with other neighbours bridges it.
+"""
+
+_SILENT_BEATS = 3
 
 HANDSHAKE_S = 2.0
 QUEUE_MESSAGES = 512
+BATCH_MESSAGES = 64
+"""Messages of one write; more would delay heartbeats behind large ones."""
+
 MAX_UNAUTHENTICATED = 64
 """Inbound connections that may be in their handshake at the same time."""
 
@@ -50,14 +62,19 @@
     session: Session
     outbox: trio.MemorySendChannel[Any]
     heard_at: float
+    dialed: bool
+    # Until the peer's first heartbeat its interval is unknown.
+    silence_s: float = _SILENT_BEATS * DISTANT_HEARTBEAT_S
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    ended: trio.Event = attrs.field(factory=trio.Event)
 
 
 class PeerNetwork:
     """Keeps authenticated streams to a set of neighbours.
 
-    Both sides may dial. Of several streams to one peer the newest carries
-    outgoing messages; messages that arrive on any of them are handled.
+    Both sides may dial; a stream that the peer opened makes dialing needless.
+    Of several streams to one peer the newest carries outgoing messages;
+    messages that arrive on any of them are handled.
 
     Parameters
     ----------
@@ -85,6 +102,7 @@
         self._handlers: dict[type, Handler] = {}
         self._links: dict[str, list[_Link]] = {}
         self._neighbours: dict[str, Instance] = {}
+        self._close: frozenset[str] | None = None
         self._dialers: dict[str, trio.CancelScope] = {}
         self._answers: dict[int, tuple[str, trio.MemorySendChannel[Any]]] = {}
         self._numbers = itertools.count(1)
@@ -143,8 +161,23 @@
         """Return the identifiers of all reachable peers."""
         return sorted(filter(self.reachable, self._links))
 
-    def set_neighbours(self, instances: Iterable[Instance]) -> None:
-        """Dial exactly these peers; leave streams that peers opened."""
+    def set_neighbours(
+        self,
+        instances: Iterable[Instance],
+        *,
+        close: Iterable[str] | None = None,
+    ) -> None:
+        """Dial exactly these peers; leave streams that peers opened.
+
+        Parameters
+        ----------
+        instances
+            Peers to dial.
+        close
+            Identifiers of the peers whose silence must be noticed soon;
+            None for all.
+        """
+        self._close = None if close is None else frozenset(close)
         wanted = {
             instance.instance_id: instance
             for instance in instances
@@ -169,6 +202,10 @@
             return True
         return self._choose_link(instance_id) is not None
 
+    def count_streams(self, instance_id: str) -> int:
+        """Return the number of open streams to a peer."""
+        return len(self._links.get(instance_id, ()))
+
     def incarnation_of(self, instance_id: str) -> int | None:
         """Return the incarnation of a connected peer."""
         link = self._choose_link(instance_id)
@@ -212,7 +249,7 @@
         if not links:
             return None
         link = max(links, key=lambda candidate: candidate.heard_at)
-        if trio.current_time() - link.heard_at > SILENCE_S:
+        if trio.current_time() - link.heard_at > link.silence_s:
             return None
         return link
 
@@ -221,7 +258,12 @@
         with scope:
             while True:
                 started = trio.current_time()
-                await self._dial_once(peer)
+                link = self._choose_link(peer.instance_id)
+                if link is not None:
+                    # One stream carries both directions.
+                    await link.ended.wait()
+                else:
+                    await self._dial_once(peer)
                 if trio.current_time() - started > SILENCE_S:
                     backoff = _BACKOFF_FIRST_S
                 # Jitter keeps a fleet from dialing a restarted peer at once.
@@ -250,7 +292,7 @@
         try:
             if not await self._authenticate(session, expected):
                 return
-            await self._serve(session)
+            await self._serve(session, dialed=expected is not None)
         except* codec.FrameError as group:
             self.refused_frames += 1
             log_event(
@@ -293,16 +335,20 @@
             )
         return True
 
-    async def _serve(self, session: Session) -> None:
+    async def _serve(self, session: Session, *, dialed: bool) -> None:
         sender, receiver = trio.open_memory_channel[Any](QUEUE_MESSAGES)
         link = _Link(
-            session=session, outbox=sender, heard_at=trio.current_time()
+            session=session,
+            outbox=sender,
+            heard_at=trio.current_time(),
+            dialed=dialed,
         )
         peer_id = session.peer_id
         links = self._links.setdefault(peer_id, [])
         while len(links) >= _INBOUND_PER_PEER:
             links.pop(0).scope.cancel()
         links.append(link)
+        self._close_redundant(links)
         if len(links) == 1:
             self._notify(peer_id, True)
         try:
@@ -313,8 +359,27 @@
                     await self._receive_all(link)
         finally:
             self._remove_link(peer_id, link)
+            link.ended.set()
             sender.close()
 
+    def _close_redundant(self, links: list[_Link]) -> None:
+        """Close the own one of two streams that both sides dialed at once.
+
+        The side with the higher identifier does so, so that one remains.
+        """
+        session = links[-1].session
+        if self._instance.instance_id < session.peer_id:
+            return
+        same = [
+            link
+            for link in links
+            if link.session.peer_incarnation == session.peer_incarnation
+        ]
+        if not all(link.dialed for link in same):
+            for link in same:
+                if link.dialed:
+                    link.scope.cancel()
+
     def _remove_link(self, peer_id: str, link: _Link) -> None:
         self.bytes_sent += link.session.bytes_sent
         self.bytes_received += link.session.bytes_received
@@ -332,20 +397,41 @@
     async def _send_all(
         self, link: _Link, receiver: trio.MemoryReceiveChannel[Any]
     ) -> None:
-        beat = messages.Heartbeat(incarnation=self._incarnation)
+        peer_id = link.session.peer_id
+        told = 0.0
         while True:
-            message: Any = beat
-            with trio.move_on_after(HEARTBEAT_S):
-                message = await receiver.receive()
-            await link.session.send(message)
+            interval = self._choose_interval(peer_id)
+            batch: list[Any] = []
+            if interval == told:
+                with trio.move_on_after(interval):
+                    batch.append(await receiver.receive())
+                while batch and len(batch) < BATCH_MESSAGES:
+                    try:
+                        batch.append(receiver.receive_nowait())
+                    except trio.WouldBlock:
+                        break
+            if not batch:
+                told = interval
+                beat = messages.Heartbeat(
+                    incarnation=self._incarnation, interval_s=interval
+                )
+                batch.append(beat)
+            await link.session.send_batch(batch)
+
+    def _choose_interval(self, peer_id: str) -> float:
+        if self._close is None or peer_id in self._close:
+            return HEARTBEAT_S
+        return DISTANT_HEARTBEAT_S
 
     async def _watch_silence(self, link: _Link) -> None:
         while True:
             quiet = trio.current_time() - link.heard_at
-            if quiet > SILENCE_S:
+            if quiet > link.silence_s:
                 link.scope.cancel()
                 return
-            await trio.sleep(SILENCE_S - quiet + 0.01)
+            # A limit that becomes shorter is looked at after the old one;
+            # ``reachable`` applies it at once.
+            await trio.sleep(link.silence_s - quiet + 0.01)
 
     async def _receive_all(self, link: _Link) -> None:
         async with trio.open_nursery() as nursery:
@@ -361,6 +447,10 @@
     ) -> None:
         sender = link.session.peer_id
         if isinstance(message, messages.Heartbeat):
+            interval = min(
+                max(message.interval_s, HEARTBEAT_S), DISTANT_HEARTBEAT_S
+            )
+            link.silence_s = _SILENT_BEATS * interval
             return
         if isinstance(message, messages.Question):
             nursery.start_soon(self._answer, link, message)
--- a/src/hawthornmast/peers/session.py
+++ b/src/hawthornmast/peers/session.py
@@ -1,5 +1,6 @@
 """One authenticated stream to one peer."""
 
+from collections.abc import Iterable
 import os
 from typing import Any
 
@@ -91,11 +92,17 @@
 
     async def send(self, message: Any) -> None:
         """Send one message."""
-        body = self._codec.encode(message)
-        frame = codec.seal_frame(self._send_key, self._sent, body)
-        self._sent += 1
-        await self._stream.send_all(frame)
-        self.bytes_sent += len(frame)
+        await self.send_batch([message])
+
+    async def send_batch(self, batch: Iterable[Any]) -> None:
+        """Send messages with one write."""
+        frames = bytearray()
+        for message in batch:
+            body = self._codec.encode(message)
+            frames += codec.seal_frame(self._send_key, self._sent, body)
+            self._sent += 1
+        await self._stream.send_all(frames)
+        self.bytes_sent += len(frames)
 
     async def receive(self) -> Any:
         """Return the next message.
--- a/src/hawthornmast/peers/tests/test_network.py
+++ b/src/hawthornmast/peers/tests/test_network.py
@@ -1,8 +1,10 @@
 """Tests of the streams between daemons, over loopback sockets."""
 
 import struct
+import zlib
 
 import attrs
+import msgpack
 import pytest
 import trio
 import trio.testing
@@ -176,3 +178,89 @@
             assert await b.receive() == Note(text="x")
         with pytest.raises(peers.FrameError, match="not signed"):
             await b.receive()
+
+
+class TestOneStream:
+    """Guards against the cost of two streams for each pair of daemons."""
+
+    async def test_pair_that_dials_each_other_keeps_one(self, nursery):
+        a, b = await _make_instance("a"), await _make_instance("b")
+        network_a, _ = _make_network(a, ("s1",))
+        network_b, _ = _make_network(b, ("s1",))
+        network_a.set_neighbours([b])
+        network_b.set_neighbours([a])
+        await network_a.start(nursery)
+        await network_b.start(nursery)
+        await _wait_until(lambda: network_a.reachable("b"))
+        await trio.sleep(0.3)
+        assert network_a.count_streams("b") == 1
+        assert network_b.count_streams("a") == 1
+        assert network_b.reachable("a")
+        await network_a.close()
+        await network_b.close()
+        nursery.cancel_scope.cancel()
+
+    async def test_dials_when_stream_of_peer_ends(self, nursery):
+        # Guards against a daemon that waits for a peer that dials no more.
+        a, b = await _make_instance("a"), await _make_instance("b")
+        network_a, _ = _make_network(a, ("s1",))
+        network_b, _ = _make_network(b, ("s1",))
+        network_a.set_neighbours([b])
+        await network_a.start(nursery)
+        await network_b.start(nursery)
+        await _wait_until(lambda: network_b.reachable("a"))
+        network_b.set_neighbours([a])
+        await trio.sleep(0.1)
+        network_a.set_neighbours([])
+        await _wait_until(lambda: not network_a.reachable("b"))
+        await _wait_until(lambda: network_a.reachable("b"))
+        await network_a.close()
+        await network_b.close()
+        nursery.cancel_scope.cancel()
+
+
+class TestIntervals:
+    """Guards against a peer that is taken as lost between its heartbeats."""
+
+    @pytest.mark.parametrize("close", [None, ("b",), ()])
+    async def test_idle_stream_stays_reachable(self, nursery, close):
+        a, b = await _make_instance("a"), await _make_instance("b")
+        network_a, _ = _make_network(a, ("s1",))
+        network_b, _ = _make_network(b, ("s1",))
+        network_a.set_neighbours([b], close=close)
+        network_b.set_neighbours([], close=() if close == () else None)
+        await network_b.start(nursery)
+        await network_a.start(nursery)
+        await _wait_until(lambda: network_a.reachable("b"))
+        for _ in range(25):
+            await trio.sleep(0.1)
+            assert network_a.reachable("b")
+            assert network_b.reachable("a")
+        await network_a.close()
+        await network_b.close()
+        nursery.cancel_scope.cancel()
+
+
+class TestCodec:
+    """Guards against bodies that a peer made to exhaust memory."""
+
+    def test_large_body_is_compressed(self):
+        codec = peers.MessageCodec(Note)
+        note = Note(text="x" * 5000, pairs=[("y", 1), ("z", 2)])
+        body = codec.encode(note)
+        assert len(body) < 200
+        assert codec.decode(body).unwrap() == note
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            zlib.compress(bytes(peers.MAX_FRAME_BYTES + 1)),
+            zlib.compress(b"\x92\xa4Note\x93\xa1x\xc0\x90")[:-3],
+            msgpack.packb(["Note", ["x"]]),
+            msgpack.packb(["Note", {"text": "x"}]),
+            msgpack.packb(["Note", ["x", None, [], "more"]]),
+        ],
+    )
+    def test_refuses_malformed_body(self, body):
+        decoded = peers.MessageCodec(Note).decode(body)
+        assert decoded.unwrap_err().step == "decode-frame"
