Let a service name the zones in which daemons serve it

Cause: a service had owners in each zone of the list. At 16 zones a daemon owns 11 services in groups of 16, although the upstreams of a service are in few zones.

Ruled out: zones derived from the list of upstreams, because a change of that list, which lags, would then move owners and their permits.

The key zones lists the zones with owners, all when it is empty. A list without any live daemon counts as empty, so that a service always has owners. The choice stays a pure function of the published documents.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -124,6 +124,13 @@
 }
 
 
+LINK = {
+    "cpu": "link_cpu_s",
+    "sent": "link_sent_bytes",
+    "rss": "link_rss_bytes",
+}
+
+
 def measure_owned(seed: int) -> dict[str, dict[str, Slope]]:
     """Return the slopes of the owned services by what they grow with."""
     fixed = {"members": target.GROUP, "seed": seed}
@@ -152,8 +159,9 @@
 
 def measure_rest(*, large: bool) -> dict[str, dict[str, Slope]]:
     """Return the slopes of links, index and lists."""
-    peers = 2 * target.NEIGHBOURS + target.GROUP_PEERS
-    links = _sweep(control.measure_links, "peers", (8, 24, 80))
+    close = _sweep(control.measure_links, "peers", (8, 24, 80), close=True)
+    distant = _sweep(control.measure_links, "peers", (8, 24, 80), close=False)
+    announce = _sweep(control.measure_announce, "peers", (8, 24, 80))
     keys = _sweep(control.measure_store, "keys", (1720, 5000, 17200))
     daemons = (720, 2160, 7200)
     lists = _sweep(
@@ -176,15 +184,17 @@
         "rss": "lists_rss_bytes",
     }
     return {
-        "peers": _slopes(
-            links,
-            {
-                "cpu": "link_cpu_s",
-                "sent": "link_sent_bytes",
-                "rss": "link_rss_bytes",
-            },
+        "close": _slopes(
+            close, LINK, per="close_peers", at=target.GROUP_PEERS
+        ),
+        "distant": _slopes(
+            distant, LINK, per="distant_peers", at=target.DISTANT_PEERS
+        ),
+        "announce": _slopes(
+            announce,
+            {"cpu": "announce_cpu_s", "sent": "announce_bytes"},
             per="peers",
-            at=peers,
+            at=target.NEIGHBOURS,
         ),
         "keys": _slopes(
             keys,
@@ -213,24 +223,29 @@
     traffic = owned["requests_per_s"]
     # The traffic sweep holds two services.
     reports = traffic["sent"].slope * target.REQUESTS_EACH * target.OWNED / 2
+    announces = changes * target.NEIGHBOURS
     cpu = {
         "base": base.cpu,
-        "links": rest["peers"]["cpu"].at_target,
+        "close_links": rest["close"]["cpu"].at_target,
+        "distant_links": rest["distant"]["cpu"].at_target,
         "owned": services["cpu"].at_target,
-        "changes": changes * target.ANNOUNCES * target.ANNOUNCE_CPU_S
-        + changes * rest["keys"]["change_cpu"].at_target,
+        # Each announcement is sent and received as often.
+        "announce": 2 * announces * rest["announce"]["cpu"].at_target,
+        "index": changes * rest["keys"]["change_cpu"].at_target,
         "lists": rest["known"]["change_cpu"].at_target * target.RESTARTS_PER_S,
     }
     sent = {
-        "links": rest["peers"]["sent"].at_target,
+        "close_links": rest["close"]["sent"].at_target,
+        "distant_links": rest["distant"]["sent"].at_target,
         "owned": services["sent"].at_target + reports,
-        "announce": changes * target.ANNOUNCES * target.ANNOUNCE_BYTES,
+        "announce": announces * rest["announce"]["sent"].at_target,
         "lists": rest["daemons"]["change_bytes"].at_target
         * target.RESTARTS_PER_S,
     }
     rss = {
         "base": base.rss,
-        "links": rest["peers"]["rss"].at_target,
+        "close_links": rest["close"]["rss"].at_target,
+        "distant_links": rest["distant"]["rss"].at_target,
         "owned": services["rss"].at_target,
         "index": rest["keys"]["rss"].at_target,
         "lists": rest["known"]["rss"].at_target,
@@ -261,7 +276,7 @@
 def describe_fleet(costs: list[FleetCost]) -> list[Slope]:
     """Return the slopes of the fleet of processes."""
     hops = [math.log(cost.daemons, 4) for cost in costs]
-    peers = 2 * target.NEIGHBOURS + target.GROUP_PEERS
+    peers = target.DISTANT_PEERS + target.GROUP_PEERS
     found = []
     for field in attrs.fields_dict(FleetCost):
         if field in ("daemons", "peers"):
--- a/benchmarks/capacity_target.py
+++ b/benchmarks/capacity_target.py
@@ -11,13 +11,16 @@
 LIST_CHANGES_PER_S = 2 * RESTARTS_PER_S
 """A restarted instance leaves the list and returns to it."""
 
-SERVICE_ZONES = 16
-"""Zones in which a service has owners: every zone of the list."""
+SERVICE_ZONES = 3
+"""Zones in which a service has owners, as its document lists them.
+
+Without the list each service has owners in all 16 zones.
+"""
 
 GROUP = SERVICE_ZONES
 """Members of an owner group with one owner in each zone."""
 
-OWNED = round(SERVICES * SERVICE_ZONES / DAEMONS)
+OWNED = SERVICES * SERVICE_ZONES / DAEMONS
 """Services that one daemon owns."""
 
 GROUP_PEERS = OWNED * (GROUP - 1)
@@ -28,19 +31,13 @@
 REQUESTS_EACH = REQUESTS_PER_S / SERVICES / GROUP
 """Requests per second of one service on one of its owners."""
 
-KEYS = 2 * SERVICES + 1
+KEYS = 2 * SERVICES + ZONES
 READERS = 2 * ZONES
 NEIGHBOURS = 21
 """Ring of 450 with chords at powers of four, and one per other zone."""
 
-ANNOUNCES = 2 * NEIGHBOURS
-"""Frames of one change that a daemon sends and receives."""
-
-ANNOUNCE_BYTES = 100
-"""A frame with one key of 40 characters, its revision and digest."""
-
-ANNOUNCE_CPU_S = 0.0001
-"""One frame: HMAC, msgpack and a system call."""
+DISTANT_PEERS = 2 * NEIGHBOURS
+"""Neighbours that a daemon dials and those that dial it."""
 
 CPU_BUDGET = 0.017
 RSS_BUDGET = 256e6
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -26,6 +26,7 @@
 from hawthornmast.common import Instance
 from hawthornmast.common import Upstream
 from hawthornmast.configuration import ConfigurationStore
+from hawthornmast.configuration.messages import Announce
 from hawthornmast.daemon import Daemon
 from hawthornmast.daemon.runtime import Links
 from hawthornmast.daemon.runtime import Runtime
@@ -265,6 +266,63 @@
     return trio.run(run)
 
 
+@attrs.frozen(kw_only=True)
+class AnnounceCost:
+    """Cost of one announcement on one stream, sent or received."""
+
+    cpu: float
+    sent: float
+
+
+def measure_announce(*, peers: int, rounds: int = 50) -> AnnounceCost:
+    """Measure announcements of one entry to a number of peers."""
+
+    async def run() -> AnnounceCost:
+        ports = choose_ports(peers + 1)
+        instances = [
+            Instance(
+                instance_id=f"d{number}",
+                zone="z0",
+                host=HOST,
+                port=1,
+                peer_port=port,
+            )
+            for number, port in enumerate(ports)
+        ]
+        networks = [
+            PeerNetwork(instance=item, incarnation=n, secrets=(SECRET,))
+            for n, item in enumerate(instances)
+        ]
+        received = []
+        for network in networks:
+            network.register(Announce, lambda m, sender: received.append(m))
+        message = Announce(
+            entries=[("catalogue/services/service-1234", 123_456, b"d" * 16)]
+        )
+        async with trio.open_nursery() as nursery:
+            for network in networks:
+                await network.start(nursery)
+            networks[0].set_neighbours(instances[1:], close=())
+            with trio.fail_after(30):
+                while len(networks[0].connected()) < peers:
+                    await trio.sleep(0.1)
+            await trio.sleep(0.5)
+            sent = networks[0].count_bytes()[0]
+            started = time.process_time()
+            for _ in range(rounds):
+                for item in instances[1:]:
+                    assert networks[0].post(item.instance_id, message)
+                await trio.sleep(0.01)
+            cpu = time.process_time() - started
+            sent = networks[0].count_bytes()[0] - sent
+            assert len(received) == rounds * peers
+            nursery.cancel_scope.cancel()
+        frames = rounds * peers
+        return AnnounceCost(cpu=cpu / frames / 2, sent=sent / frames)
+
+    return trio.run(run)
+
+
 @attrs.frozen(kw_only=True)
 class StoreCost:
     """Cost of an index of keys."""
--- a/src/hawthornmast/catalogue/service.py
+++ b/src/hawthornmast/catalogue/service.py
@@ -144,6 +144,8 @@
         must leave in service, from 0 to 1.
     owners_per_zone
         Daemons in each zone that serve the service.
+    zones
+        Zones in which daemons serve the service; all when empty.
     not_run_header
         Name and value of the response header by which an upstream certifies
         that it did not run a request; None when its upstreams have none.
@@ -162,6 +164,10 @@
         default=1,
         metadata=describe(rules.Whole(low=1, high=64, unit="daemons")),
     )
+    zones: tuple[str, ...] = attrs.field(
+        default=(),
+        metadata=describe(rules.Items(item=rules.NAME, unit="zones")),
+    )
     not_run_header: tuple[str, str] | None = attrs.field(
         default=None, metadata=describe(rules.Header())
     )
--- a/src/hawthornmast/daemon/services.py
+++ b/src/hawthornmast/daemon/services.py
@@ -74,9 +74,7 @@
         service = self._services.get(service_name)
         if service is None:
             return None
-        group = self._directory.owners(
-            service_name, per_zone=service.owners_per_zone
-        )
+        group = self._find_owners(service)
         staying = [
             owner
             for owner in group
@@ -117,9 +115,7 @@
         service = self._services.get(service_name)
         group: tuple[Instance, ...] = ()
         if service is not None:
-            group = self._directory.owners(
-                service_name, per_zone=service.owners_per_zone
-            )
+            group = self._find_owners(service)
         own = self._links.instance.instance_id
         if service is None or own not in {d.instance_id for d in group}:
             self._forget(service_name)
@@ -138,9 +134,7 @@
         """Apply a new list of daemons to the services whose group changed."""
         own = self._links.instance.instance_id
         for name, service in list(self._services.items()):
-            owners = self._directory.owners(
-                name, per_zone=service.owners_per_zone
-            )
+            owners = self._find_owners(service)
             group = tuple(daemon.instance_id for daemon in owners)
             runtime = self._runtimes.get(name)
             if runtime is None:
@@ -156,6 +150,13 @@
             if not is_held(SERVICES_PREFIX + name):
                 self.remove_document(SERVICES_PREFIX + name)
 
+    def _find_owners(self, service: Service) -> tuple[Instance, ...]:
+        return self._directory.owners(
+            service.name,
+            per_zone=service.owners_per_zone,
+            zones=service.zones,
+        )
+
     def _forget(self, service_name: str) -> None:
         runtime = self._runtimes.pop(service_name, None)
         if runtime is not None:
--- a/src/hawthornmast/membership/directory.py
+++ b/src/hawthornmast/membership/directory.py
@@ -1,6 +1,7 @@
 """Accepted lists of daemons and upstreams of one process."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 
 from result import Err
@@ -12,6 +13,7 @@
 from hawthornmast.common import Upstream
 from hawthornmast.membership import lists
 from hawthornmast.membership import placement
+from hawthornmast.membership.zone import Ranked
 from hawthornmast.membership.zone import ZoneMembers
 
 DAEMONS_KEY = "instances/daemons"
@@ -158,18 +160,41 @@
         return instance_id in self._leaving
 
     def owners(
-        self, service_name: str, *, per_zone: int = 1
+        self,
+        service_name: str,
+        *,
+        per_zone: int = 1,
+        zones: Collection[str] = (),
     ) -> tuple[Instance, ...]:
-        """Return the owner group, in hash order."""
+        """Return the owner group, in hash order.
+
+        Parameters
+        ----------
+        service_name
+            Name of the service.
+        per_zone
+            Daemons selected in each zone.
+        zones
+            Zones with owners. All zones when it is empty or when none of
+            them has a live daemon, so that a service is never without.
+        """
         if per_zone < 1:
             raise ValueError(f"per_zone is {per_zone}, allowed: 1 or more")
-        chosen = [
+        chosen = self._choose(service_name, per_zone, zones)
+        if zones and not chosen:
+            chosen = self._choose(service_name, per_zone, ())
+        chosen.sort(key=lambda pair: pair[0], reverse=True)
+        return tuple(daemon for _, daemon in chosen)
+
+    def _choose(
+        self, service_name: str, per_zone: int, zones: Collection[str]
+    ) -> list[Ranked]:
+        return [
             pair
-            for members in self._zones.values()
+            for zone, members in self._zones.items()
+            if not zones or zone in zones
             for pair in members.choose(service_name, per_zone)
         ]
-        chosen.sort(key=lambda pair: pair[0], reverse=True)
-        return tuple(daemon for _, daemon in chosen)
 
     def forget(self, service_name: str) -> None:
         """Drop the owners of a service outside this daemon's zone."""
--- a/src/hawthornmast/membership/tests/test_zone.py
+++ b/src/hawthornmast/membership/tests/test_zone.py
@@ -110,3 +110,29 @@
         publish(directory, [d for d in listed if d.instance_id != "d1"])
         assert directory.take_changed_zones() == {"b"}
         assert directory.take_changed_zones() == set()
+
+
+class TestOwnersInZones:
+    """Guards against owners in zones where a service has no upstreams."""
+
+    @pytest.mark.parametrize(
+        ("zones", "found"),
+        [
+            ((), {"a", "b", "c"}),
+            (("b",), {"b"}),
+            (("a", "c"), {"a", "c"}),
+            (("a", "elsewhere"), {"a"}),
+            # A service must not lose all its owners with its zones.
+            (("elsewhere",), {"a", "b", "c"}),
+        ],
+    )
+    def test_chooses_in_listed_zones(
+        self, zones: tuple[str, ...], found: set[str]
+    ) -> None:
+        directory = Directory(self_id="d0")
+        publish(directory, [make_instance(number) for number in range(9)])
+        owners = directory.owners("billing", zones=zones)
+        assert {daemon.zone for daemon in owners} == found
+        assert len(owners) == len(found)
+        everywhere = directory.owners("billing")
+        assert [d for d in everywhere if d in owners] == list(owners)
