--- a/src/hawthornmast/peers/session.py
+++ b/src/hawthornmast/peers/session.py
@@ -1,5 +1,6 @@
 """One authenticated stream to one peer."""
 
+from collections.abc import Iterable
 import os
 from typing import Any
 
@@ -37,6 +38,8 @@
         self._receive_key = b""
         self._sent = 0
         self._received = 0
+        self._compressor = codec.Compressor()
+        self._expander = codec.Expander()
         self.peer_id = ""
         self.peer_incarnation = 0
         self.bytes_sent = 0
@@ -91,11 +94,17 @@
 
     async def send(self, message: Any) -> None:
         """Send one message."""
-        body = self._codec.encode(message)
-        frame = codec.seal_frame(self._send_key, self._sent, body)
-        self._sent += 1
-        await self._stream.send_all(frame)
-        self.bytes_sent += len(frame)
+        await self.send_batch([message])
+
+    async def send_batch(self, batch: Iterable[Any]) -> None:
+        """Send messages with one write."""
+        frames = bytearray()
+        for message in batch:
+            body = self._compressor.compress(self._codec.encode(message))
+            frames += codec.seal_frame(self._send_key, self._sent, body)
+            self._sent += 1
+        await self._stream.send_all(frames)
+        self.bytes_sent += len(frames)
 
     async def receive(self) -> Any:
         """Return the next message.
@@ -110,7 +119,7 @@
         content = await self._receive_content(codec.MAX_FRAME_BYTES)
         body = codec.open_frame(self._receive_key, self._received, content)
         self._received += 1
-        decoded = self._codec.decode(body)
+        decoded = self._codec.decode(self._expander.expand(body))
         if decoded.is_err():
             raise codec.FrameError(str(decoded.unwrap_err()))
         return decoded.unwrap()
