Stop avoiding an upstream that shows no new failure

Cause: a returning upstream starts its trial with a head start above the low threshold, and each tick took that for evidence and renewed the avoidance. Under light load it then got no request that could end it. Before: the new test found it avoided 30 s after its return. After: only a failure renews the avoidance; in the test it is back in use. A group of one daemon has no other member to confirm its lists and so held no permit; the platform confirms them now.

--- a/src/hawthornmast/daemon/confirmation.py
+++ b/src/hawthornmast/daemon/confirmation.py
@@ -64,7 +64,8 @@
         waiting = [
             runtime
             for runtime in self._services
-            if not all(map(self._reachable, runtime.group))
+            if len(runtime.group) == 1
+            or not all(map(self._reachable, runtime.group))
         ]
         if not waiting:
             return
--- a/src/hawthornmast/health/monitor.py
+++ b/src/hawthornmast/health/monitor.py
@@ -298,10 +298,18 @@
             if other is not state
         }
 
-    def _evaluate(self, state: UpstreamState, now: float) -> None:
+    def _evaluate(
+        self, state: UpstreamState, now: float, *, failed: bool = True
+    ) -> None:
+        """Decide on avoidance after a failure, and on sickness.
+
+        Only a failure renews the avoidance: an avoided upstream may get no
+        request at all that could show its recovery.
+        """
         score = state.score
-        if state.own_level >= scores.AVOID or (
-            score.level >= scores.LOW and not score.works_for_some()
+        if failed and (
+            state.own_level >= scores.AVOID
+            or (score.level >= scores.LOW and not score.works_for_some())
         ):
             state.avoid_until = now + AVOID_S
             self._watched.add(state.upstream_id)
@@ -345,7 +353,7 @@
                 and now >= state.ejected_until
             ):
                 # Time alone can make the run long enough.
-                self._evaluate(state, now)
+                self._evaluate(state, now, failed=False)
         self.budget.settle(self._states, now)
         deadlines = self.budget.list_deadlines(self._states, now)
         for upstream_id, state in self._states.items():
--- a/src/hawthornmast/health/tests/test_monitor.py
+++ b/src/hawthornmast/health/tests/test_monitor.py
@@ -5,6 +5,7 @@
 from hawthornmast.audit import Act
 from hawthornmast.catalogue import Service
 from hawthornmast.health import Evidence
+from hawthornmast.health import Standing
 from hawthornmast.health.tests.simulation import make_upstreams
 from hawthornmast.health.tests.simulation import Simulation
 from hawthornmast.health.tests.simulation import Traffic
@@ -87,6 +88,26 @@
         assert acts.count(Act.EJECT) >= 2
         assert Act.RETURN in acts
 
+    @pytest.mark.parametrize("floor", [0.7, 1.0])
+    def test_stop_avoiding_without_new_evidence(self, floor):
+        # Guards against a mended upstream that is avoided for ever, because
+        # an avoided upstream gets no request that could show its recovery.
+        sim = Simulation(1, Service(name="billing", owner="team", floor=floor))
+        monitors = [sim.start(name) for name in OWNERS]
+        for monitor in monitors:
+            monitor.update(make_upstreams(4), OWNERS, view="1")
+        sim.run_until(sim.now + 20)
+        for _ in range(20):
+            for monitor in monitors:
+                monitor.finish(monitor.begin("u1", "read"), Evidence.FAILED)
+            sim.run_until(sim.now + 0.1)
+        for monitor in monitors:
+            standing = monitor.standing("u1")
+            assert standing.avoided or standing.ejected
+        sim.run_until(sim.now + 30)
+        for monitor in monitors:
+            assert monitor.standing("u1") == Standing()
+
     @pytest.mark.parametrize("replaced", [2, 5, 10])
     def test_keep_floor_while_new_upstreams_ramp(self, replaced):
         # Guards against a rolling restart of the upstreams whose slow start
