--- a/src/hawthornmast/membership/tests/test_zone.py
+++ b/src/hawthornmast/membership/tests/test_zone.py
@@ -129,7 +129,7 @@
     def test_chooses_in_listed_zones(
         self, zones: tuple[str, ...], found: set[str]
     ) -> None:
-        directory = Directory(self_id="d0")
+        directory = Directory(instance=make_instance(0))
         publish(directory, [make_instance(number) for number in range(9)])
         owners = directory.owners("billing", zones=zones)
         assert {daemon.zone for daemon in owners} == found
