--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -247,6 +247,8 @@
         "commit": read_commit(),
         "seed": options.seed,
         "cores": os.cpu_count(),
+        # Other work on the machine makes latencies longer.
+        "load_average": os.getloadavg(),
         "quick": options.quick,
         "not_run": absent,
         "runs": runs,
--- a/benchmarks/generator.py
+++ b/benchmarks/generator.py
@@ -16,6 +16,7 @@
 
 import attrs
 
+WARM_S = 0.3
 _TICKETS_PER_CALL = 64
 _LATE_S = 5.0
 """Time after the end of a round at which open requests count as failed."""
@@ -50,7 +51,7 @@
     rate: float = 0.0
     connections: int = 16
     seconds: float = 2.0
-    warm_s: float = 0.3
+    warm_s: float = WARM_S
     seed: int = 1
 
 
--- a/benchmarks/latency.py
+++ b/benchmarks/latency.py
@@ -25,6 +25,7 @@
 import trio
 
 from benchmarks.generator import Command
+from benchmarks.generator import WARM_S
 from benchmarks.rows import check
 from benchmarks.rows import is_missed
 from hawthornmast.http import fetch
@@ -119,8 +120,10 @@
     tickets: bool = False
 
 
-def read_cpu_s(process: Process) -> float:
+def read_cpu_s(process: Process | None) -> float:
     """Return the CPU seconds that a process has used."""
+    if process is None:
+        return 0.0
     stat = pathlib.Path(f"/proc/{process.popen.pid}/stat").read_text()
     fields = stat.rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
@@ -231,10 +234,12 @@
         """Return the latencies by kind and target."""
         samples: dict[tuple[str, str], list[list[int]]] = {}
         failed: dict[tuple[str, str], int] = {}
+        spent: dict[tuple[str, str], float] = {}
         for number in range(rounds):
             for kind, request in KINDS.items():
                 targets = self.list_targets(request["service"])
                 for name, target in targets.items():
+                    before = read_cpu_s(target.process)
                     # All targets of a round get the same arrivals.
                     result = await self.generator.run(
                         Command(
@@ -250,10 +255,18 @@
                     key = (kind, name)
                     samples.setdefault(key, []).append(result["micros"])
                     failed[key] = failed.get(key, 0) + result["failed"]
-        return [
-            _describe_latency(kind, name, samples, failed[kind, name])
-            for kind, name in samples
-        ]
+                    used = read_cpu_s(target.process) - before
+                    spent[key] = spent.get(key, 0.0) + used
+        rows = []
+        for key in samples:
+            row = _describe_latency(*key, samples, failed[key])
+            # Requests of the warm-up are in the CPU time as well.
+            share = seconds / (seconds + WARM_S)
+            row["cpu_us"] = round(
+                spent[key] * share * 1e6 / max(1, row["requests"])
+            )
+            rows.append(row)
+        return rows
 
     async def measure_throughput(
         self, rounds: int, seconds: float
@@ -378,6 +391,7 @@
         row["checks"] = [
             check("added ms at the 99th", row["added_p99_ms"], at_most=aim),
             check("added ms at the median", row["added_median_ms"]),
+            check("CPU us per request", row["cpu_us"]),
         ]
         if own:
             row["next_held"] = row["added_p99_ms"] <= NEXT_AIM_ADDED_MS
