--- a/src/hawthornmast/limits/allocator.py
+++ b/src/hawthornmast/limits/allocator.py
@@ -19,7 +19,7 @@
   one term has passed.
 - The allocator changed and the old one still serves a part of the group: by
   at most the static shares of the other part, until the old one misses them,
-  at most ``TERM_S`` plus ``_MISSING_S`` after the cut.
+  at most ``TERM_S`` plus ``MISSING_S`` after the cut.
 
 An unconfirmed member's static share is idle until ``RESERVE_S`` has passed,
 and for as long as the list holds it where no majority is left.
@@ -33,14 +33,15 @@
 import hashlib
 import random as random_module
 
-import attrs
-
 from hawthornmast.catalogue import Service
 from hawthornmast.common import State
 from hawthornmast.common import Upstream
 from hawthornmast.limits.division import divide_statically
 from hawthornmast.limits.division import order_group
 from hawthornmast.limits.division import Shares
+from hawthornmast.limits.members import GroupMember
+from hawthornmast.limits.members import MISSING_S
+from hawthornmast.limits.members import SentGrant
 from hawthornmast.limits.messages import SlotDemand
 from hawthornmast.limits.messages import SlotGrant
 from hawthornmast.limits.planning import plan_grants
@@ -54,24 +55,10 @@
 IDLE_S = 1.0
 """Time between two demands without change."""
 
-_MISSING_S = 2.25
-"""Age of the last confirmed grant at which a static share is reserved.
-
-Without change a grant is confirmed by the demand a second later, so the age
-reaches 2 s in regular operation.
-"""
-
-RESERVE_S = 10.0
-"""Silence after which the static share of a member is lent to the others.
-
-The list of instances may lag for minutes behind a crash, which is far more
-frequent than a member that is cut off for this long and still has clients.
-"""
-
 _REGROW_S = 1.0
 """Time after the term before a member regrows to its static share.
 
-The allocator reserves the share within ``_MISSING_S`` and needs a tick and a
+The allocator reserves the share within ``MISSING_S`` and needs a tick and a
 message to take it back from the others.
 """
 
@@ -80,60 +67,6 @@
 """Least time between two plans; one for 16 members takes about 0.4 ms."""
 
 
-@attrs.define(kw_only=True, eq=False)
-class _Sent:
-    """A grant that was sent and not yet confirmed or expired."""
-
-    slots: dict[str, int]
-    asked_at: float
-
-
-@attrs.define(kw_only=True, eq=False)
-class _Peer:
-    """What the allocator knows about a member."""
-
-    static: dict[str, int]
-    known_since: float
-    demand: Sequence[int] = ()
-    held: dict[str, int] = attrs.field(factory=dict)
-    asked: int = 0
-    asked_at: float = float("-inf")
-    confirmed_at: float = float("-inf")
-    sent: dict[int, _Sent] = attrs.field(factory=dict)
-    sent_at: float = float("-inf")
-    granted: dict[str, int] | None = None
-    owed: bool = False
-
-    def count_committed(
-        self, upstream_id: str, now: float, *, lend: bool
-    ) -> int:
-        """Return the slots that the member may use or be using.
-
-        With ``lend`` the static share of an absent member is free.
-        """
-        values = [
-            item.slots.get(upstream_id, 0) for item in self.sent.values()
-        ]
-        if now < self.asked_at + _MISSING_S:
-            values.append(self.held.get(upstream_id, 0))
-        lent = lend and self.is_absent(now)
-        if not self.is_confirmed(now) and not lent:
-            values.append(self.static.get(upstream_id, 0))
-        return max(values, default=0)
-
-    def is_confirmed(self, now: float) -> bool:
-        """Tell whether the member applies the grants sent to it."""
-        return now < self.confirmed_at + _MISSING_S
-
-    def is_absent(self, now: float) -> bool:
-        """Tell whether the member was silent for long."""
-        return now >= max(self.known_since, self.asked_at) + RESERVE_S
-
-    def is_present(self, now: float) -> bool:
-        """Tell whether the member asks."""
-        return now < self.asked_at + _MISSING_S
-
-
 class SlotAllocator:
     """Keeps the slots of one service that this daemon may use.
 
@@ -196,7 +129,7 @@
         self._grant_from = ""
         self._expires = float("inf")
         self._regrows = float("inf")
-        self._peers: dict[str, _Peer] = {}
+        self._peers: dict[str, GroupMember] = {}
         self._allocating_since: float | None = None
         self._planned_at = float("-inf")
 
@@ -228,7 +161,9 @@
         self._expires = self._regrows = float("inf")
         self._asked_at = float("-inf")
         self._peers = {
-            name: _Peer(static=self._static[name], known_since=self._clock())
+            name: GroupMember(
+                static=self._static[name], known_since=self._clock()
+            )
             for name in members
         }
         self._allocating_since = None
@@ -267,7 +202,7 @@
         elif self._allocating_since is None:
             self._allocating_since = self._clock()
             self._peers = {
-                name: _Peer(
+                name: GroupMember(
                     static=self._static[name], known_since=self._clock()
                 )
                 for name in self._group
@@ -418,7 +353,7 @@
             if not peer.owed and grant == peer.granted:
                 continue
             self._grants += 1
-            peer.sent[self._grants] = _Sent(
+            peer.sent[self._grants] = SentGrant(
                 slots=grant, asked_at=peer.asked_at
             )
             peer.sent_at, peer.granted, peer.owed = now, grant, False
@@ -443,7 +378,7 @@
         for name, peer in self._peers.items():
             for number, item in list(peer.sent.items()):
                 # The member's term started before its demand arrived.
-                if now >= item.asked_at + _MISSING_S:
+                if now >= item.asked_at + MISSING_S:
                     del peer.sent[number]
             if peer.is_confirmed(now) and peer.is_present(now):
                 current[name] = (
@@ -473,7 +408,7 @@
         return 2 * present > size
 
     def _limit(
-        self, peer: _Peer, aim: Mapping[str, int], now: float
+        self, peer: GroupMember, aim: Mapping[str, int], now: float
     ) -> dict[str, int]:
         """Reduce a planned grant to the slots that no other may use."""
         lend = self._may_lend(now)
--- a/src/hawthornmast/limits/tests/test_allocator.py
+++ b/src/hawthornmast/limits/tests/test_allocator.py
@@ -10,7 +10,7 @@
 from hawthornmast.common import Upstream
 from hawthornmast.limits import divide_statically
 from hawthornmast.limits import SlotAllocator
-from hawthornmast.limits.allocator import RESERVE_S
+from hawthornmast.limits.members import RESERVE_S
 from hawthornmast.limits.planning import plan_grants
 from hawthornmast.limits.planning import share_demand
 
