--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -15,7 +15,6 @@
 import random
 import time
 from typing import Any
-import zlib
 
 import attrs
 import trio
@@ -523,7 +522,7 @@
         gone = instances[1 + number]
         for listed in ([i for i in instances if i != gone], instances):
             key, content = _format_zone(listed, gone.zone)
-            size += len(zlib.compress(content, 1))
+            size += len(Compressor().compress(content))
             revision += 1
             started = time.process_time()
             daemon.store.accept(key, revision, content, keep=True)
