Fetch the document of a service when a client asks for it

Ruled out: passing the question to another daemon, which needs a second hop for relayed work and its own cache; each daemon keeping all documents. Only unit tests with a fake store show this; a large fleet on processes was not run.

--- a/src/hawthornmast/configuration/distributor.py
+++ b/src/hawthornmast/configuration/distributor.py
@@ -141,6 +141,12 @@
         self._scope.cancel()
         await trio.lowlevel.checkpoint()
 
+    def fetch(self, key: str) -> None:
+        """Fetch the document of a key that is needed now."""
+        entry = self._store.entry(key)
+        if entry is not None and entry[1]:
+            self._fetcher.add(key, *entry, source="")
+
     def refresh(self) -> None:
         """Fetch what is newly needed and drop what is needed no longer."""
         for key, revision, digest in list(self._store):
--- a/src/hawthornmast/daemon/member.py
+++ b/src/hawthornmast/daemon/member.py
@@ -22,6 +22,7 @@
 from hawthornmast.daemon import messages
 from hawthornmast.daemon.confirmation import ViewConfirmation
 from hawthornmast.daemon.explanation import Explanation
+from hawthornmast.daemon.ondemand import OnDemandDocuments
 from hawthornmast.daemon.probes import LeavingProber
 from hawthornmast.daemon.reports import EjectionMeter
 from hawthornmast.daemon.reports import Reporter
@@ -137,6 +138,13 @@
             reachable=self.network.reachable,
         )
         self.distributor = self._make_distributor()
+        self.documents = OnDemandDocuments(
+            store=self.store,
+            services=self.services,
+            fetch=self.distributor.fetch,
+            refresh=self._note_unneeded,
+        )
+        self.services.on_unknown = self.documents.prepare
         self.server = self._make_server()
         self.administration = self._make_administration()
 
@@ -350,6 +358,9 @@
             lambda key: self.store.document(key) is not None
         )
 
+    def _note_unneeded(self) -> None:
+        self._refresh_due = True
+
     def _count_services(self) -> int:
         return self.store.count_keys(SERVICES_PREFIX)
 
@@ -388,6 +399,8 @@
             if self._count_services() <= SMALL_FLEET_SERVICES:
                 return True
             self._is_large = self._refresh_due = True
+        if key.startswith(SERVICES_PREFIX) and name in self.documents:
+            return True
         return self.instance.instance_id in self._find_holders(key)
 
     def _find_holders(self, key: str) -> list[str]:
--- a/src/hawthornmast/daemon/services.py
+++ b/src/hawthornmast/daemon/services.py
@@ -1,5 +1,6 @@
 """The services of the fleet as one daemon sees them."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterator
 
@@ -50,6 +51,7 @@
         self._links = links
         self._is_reachable = is_reachable
         self._on_forgotten = on_forgotten
+        self.on_unknown: Callable[[str], Awaitable[None]] | None = None
         self._services: dict[str, Service] = {}
         self._runtimes: dict[str, Runtime] = {}
 
@@ -61,6 +63,15 @@
         """All accepted services that this daemon holds, by name."""
         return self._services
 
+    def is_known(self, service_name: str) -> bool:
+        """Tell whether this daemon holds the document of a service."""
+        return service_name in self._services
+
+    async def prepare(self, service_name: str) -> None:
+        """Fetch the document of a service that this daemon lacks."""
+        if self.on_unknown is not None:
+            await self.on_unknown(service_name)
+
     def runtime(self, service_name: str) -> Runtime | None:
         """Return the runtime of a service that this daemon serves."""
         return self._runtimes.get(service_name)
--- a/src/hawthornmast/forwarding/connection.py
+++ b/src/hawthornmast/forwarding/connection.py
@@ -42,6 +42,9 @@
     def new_request_id(self) -> str:
         """Return an identifier that is unique in the fleet."""
 
+    async def prepare(self, request: ClientRequest) -> None:
+        """Learn of the request's service if this daemon doesn't know it."""
+
     def answer_page(self, request: ClientRequest) -> Answer:
         """Answer a request for the fleet's own pages."""
 
@@ -111,6 +114,7 @@
             self._step = "body"
             request = parse_head(head, self._limits, self._client)
             self._identify(request)
+            await self._host.prepare(request)
             # Without a body the same checks are made when it runs.
             refused = self._check_early(request) if request.framed else None
             if refused is None:
--- a/src/hawthornmast/forwarding/pages.py
+++ b/src/hawthornmast/forwarding/pages.py
@@ -28,6 +28,12 @@
     )
 
 
+def read_service(target: str) -> str:
+    """Return the service that a request for a page names."""
+    query = dict(urllib.parse.parse_qsl(target.partition("?")[2]))
+    return query.get("service", "").lower()
+
+
 def answer_page(
     method: str,
     target: str,
--- a/src/hawthornmast/forwarding/runtime.py
+++ b/src/hawthornmast/forwarding/runtime.py
@@ -46,6 +46,12 @@
 class ServiceDirectory(Protocol):
     """The services of the fleet as this daemon sees them."""
 
+    def is_known(self, service_name: str) -> bool:
+        """Tell whether ``owners`` can answer for a service at once."""
+
+    async def prepare(self, service_name: str) -> None:
+        """Learn of a service that this daemon holds no document of."""
+
     def runtime(self, service_name: str) -> ServiceRuntime | None:
         """Return the runtime of a service that this daemon owns."""
 
--- a/src/hawthornmast/forwarding/server.py
+++ b/src/hawthornmast/forwarding/server.py
@@ -265,6 +265,14 @@
         """Return an identifier that is unique in the fleet."""
         return f"{self._prefix}-{next(self._serial):x}"
 
+    async def prepare(self, request: ClientRequest) -> None:
+        """Learn of the request's service if this daemon doesn't know it."""
+        name = request.service
+        if request.target.startswith(pages.ROOT):
+            name = pages.read_service(request.target)
+        if not self._directory.is_known(name):
+            await self._directory.prepare(name)
+
     def answer_page(self, request: ClientRequest) -> Answer:
         """Answer a request for the fleet's own pages."""
         return pages.answer_page(
--- a/src/hawthornmast/forwarding/tests/support.py
+++ b/src/hawthornmast/forwarding/tests/support.py
@@ -94,6 +94,12 @@
     others: dict = attrs.Factory(dict)
     lost: bool = False
 
+    def is_known(self, service_name):
+        return self.owners(service_name) is not None
+
+    async def prepare(self, service_name):
+        pass
+
     def runtime(self, service_name):
         if self.lost or service_name != "billing":
             return None
