--- a/src/hawthornmast/catalogue/service.py
+++ b/src/hawthornmast/catalogue/service.py
@@ -144,9 +144,14 @@
         must leave in service, from 0 to 1.
     owners_per_zone
         Daemons in each zone that serve the service.
+    zones
+        Zones in which daemons serve the service; all when empty.
     not_run_header
         Name and value of the response header by which an upstream certifies
         that it did not run a request; None when its upstreams have none.
+    health_path
+        Path by which an upstream is asked whether it leaves; None when its
+        upstreams have none.
     queue_limit
         Requests of all entries that may wait in one daemon.
     entries
@@ -162,9 +167,16 @@
         default=1,
         metadata=describe(rules.Whole(low=1, high=64, unit="daemons")),
     )
+    zones: tuple[str, ...] = attrs.field(
+        default=(),
+        metadata=describe(rules.Items(item=rules.NAME, unit="zones")),
+    )
     not_run_header: tuple[str, str] | None = attrs.field(
         default=None, metadata=describe(rules.Header())
     )
+    health_path: str | None = attrs.field(
+        default=None, metadata=describe(_PATH)
+    )
     queue_limit: int = attrs.field(default=256, metadata=describe(_QUEUE))
     entries: tuple[Entry, ...] = ()
     revision: int = 0
--- a/src/hawthornmast/daemon/services.py
+++ b/src/hawthornmast/daemon/services.py
@@ -14,9 +14,9 @@
 from hawthornmast.daemon.runtime import Links
 from hawthornmast.daemon.runtime import Runtime
 from hawthornmast.membership import Directory
-from hawthornmast.membership import parse_daemons
+from hawthornmast.membership import is_daemons_key
+from hawthornmast.membership import parse_list
 from hawthornmast.membership import parse_upstreams
-from hawthornmast.membership.directory import DAEMONS_KEY
 from hawthornmast.membership.directory import UPSTREAMS_PREFIX
 
 SERVICES_PREFIX = "catalogue/services/"
@@ -74,9 +74,7 @@
         service = self._services.get(service_name)
         if service is None:
             return None
-        group = self._directory.owners(
-            service_name, per_zone=service.owners_per_zone
-        )
+        group = self._find_owners(service)
         staying = [
             owner
             for owner in group
@@ -110,15 +108,14 @@
         name = key.removeprefix(SERVICES_PREFIX)
         if self._services.pop(name, None) is not None:
             self.refresh(name)
+            self._directory.forget(name)
 
     def refresh(self, service_name: str) -> None:
         """Start, update or close the runtime of a service."""
         service = self._services.get(service_name)
         group: tuple[Instance, ...] = ()
         if service is not None:
-            group = self._directory.owners(
-                service_name, per_zone=service.owners_per_zone
-            )
+            group = self._find_owners(service)
         own = self._links.instance.instance_id
         if service is None or own not in {d.instance_id for d in group}:
             self._forget(service_name)
@@ -134,9 +131,31 @@
         )
 
     def refresh_all(self) -> None:
-        """Apply a new list of daemons to all services."""
+        """Apply a new list of daemons to the services whose group changed."""
+        own = self._links.instance.instance_id
+        for name, service in list(self._services.items()):
+            owners = self._find_owners(service)
+            group = tuple(daemon.instance_id for daemon in owners)
+            runtime = self._runtimes.get(name)
+            if runtime is None:
+                changed = own in group
+            else:
+                changed = runtime.group != group
+            if changed:
+                self.refresh(name)
+
+    def forget_dropped(self, is_held: Callable[[str], bool]) -> None:
+        """Forget the services whose documents were dropped."""
         for name in list(self._services):
-            self.refresh(name)
+            if not is_held(SERVICES_PREFIX + name):
+                self.remove_document(SERVICES_PREFIX + name)
+
+    def _find_owners(self, service: Service) -> tuple[Instance, ...]:
+        return self._directory.owners(
+            service.name,
+            per_zone=service.owners_per_zone,
+            zones=service.zones,
+        )
 
     def _forget(self, service_name: str) -> None:
         runtime = self._runtimes.pop(service_name, None)
@@ -155,8 +174,8 @@
             )
         name = key.removeprefix(SERVICES_PREFIX)
         return check_name(parsed.unwrap(), name)
-    if key == DAEMONS_KEY:
-        return parse_daemons(text)
+    if is_daemons_key(key):
+        return parse_list(key, text)
     if key.startswith(UPSTREAMS_PREFIX):
         return parse_upstreams(text)
     return Ok(None)
--- a/src/hawthornmast/forwarding/connection.py
+++ b/src/hawthornmast/forwarding/connection.py
@@ -131,21 +131,27 @@
 
     async def _read_head(self) -> h11.Request | None:
         connection = self._connection
+        if self.idle:
+            # h11 needs data first; asking it costs more than receiving.
+            await self._receive_head()
         while True:
             check_lines(connection.trailing_data[0], self._limits)
             event = connection.next_event()
             if event is h11.NEED_DATA:
-                data = await sockets.receive(self.sock, _READ_BYTES)
-                if data and self.idle:
-                    self.idle = False
-                    self.limit = trio.current_time() + self._limits.header_s
-                connection.receive_data(data)
+                await self._receive_head()
             elif type(event) is h11.Request:
                 self.idle = False
                 return event
             else:
                 return None
 
+    async def _receive_head(self) -> None:
+        data = await sockets.receive(self.sock, _READ_BYTES)
+        if data and self.idle:
+            self.idle = False
+            self.limit = trio.current_time() + self._limits.header_s
+        self._connection.receive_data(data)
+
     def _identify(self, request: ClientRequest) -> None:
         """Give the request its identifier, that of its relay if it has one."""
         host = self._host
@@ -205,11 +211,13 @@
         elif request.target.startswith(pages.ROOT):
             answer = host.answer_page(request)
         else:
-            self.running = trio.CancelScope()
             host.watch(self)
             try:
                 answer = await host.forwarder.run(
-                    request, trace, self.running, self._make_deliver(request)
+                    request,
+                    trace,
+                    self._open_scope,
+                    self._make_deliver(request),
                 )
             finally:
                 host.unwatch(self)
@@ -233,6 +241,10 @@
             return False
         return self._is_reusable()
 
+    def _open_scope(self, deadline: float) -> trio.CancelScope:
+        self.running = trio.CancelScope(deadline=deadline)
+        return self.running
+
     def _is_reusable(self) -> bool:
         connection = self._connection
         return (
--- a/src/hawthornmast/forwarding/upstream.py
+++ b/src/hawthornmast/forwarding/upstream.py
@@ -72,7 +72,6 @@
         pool.open += 1
 
     def close(self) -> None:
-        # A cancelled connect has closed the socket already.
         if not self.closed:
             self.closed = True
             self.pool.open -= 1
@@ -334,9 +333,7 @@
         try:
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             with trio.move_on_after(self._connect_s):
-                await trio.socket.from_stdlib_socket(raw).connect(
-                    (upstream.host, upstream.port)
-                )
+                await sockets.connect(raw, upstream.host, upstream.port)
                 connected = True
             if not connected:
                 raise TimeoutError(f"no connection in {self._connect_s} s")
@@ -349,15 +346,19 @@
         self, link: _Link, request: UpstreamRequest, progress: Progress
     ) -> Exchange:
         connection = link.connection
+        # A connection is kept only without unread data, so that h11 needs
+        # data first; asking it costs more than receiving.
+        needed = True
         while True:
-            event = connection.next_event()
-            if event is h11.NEED_DATA:
+            if needed:
                 data = await sockets.receive(link.sock, _READ_BYTES)
                 progress.answered = progress.answered or bool(data)
                 connection.receive_data(data)
-            elif type(event) is h11.Response:
+            event = connection.next_event()
+            needed = event is h11.NEED_DATA
+            if type(event) is h11.Response:
                 break
-            elif type(event) is not h11.InformationalResponse:
+            if not needed and type(event) is not h11.InformationalResponse:
                 raise h11.RemoteProtocolError("connection closed early")
         exchange = Exchange(self, link, event)
         _check_framing(exchange, event, request.method)
--- a/src/hawthornmast/peers/codec.py
+++ b/src/hawthornmast/peers/codec.py
@@ -2,15 +2,20 @@
 
 A frame is a 4-byte big-endian length of what follows, a 16-byte truncated
 HMAC-SHA256 over the sequence number and the body, and the body. The body is
-msgpack of ``[message name, fields]``.
+msgpack of ``[message name, fields]`` with the fields in the order of their
+class. The bodies of one direction form one deflate stream, flushed after each
+body, so that names that were sent before cost a few bytes.
 """
 
+from collections.abc import Callable
 import hashlib
 import hmac
 import struct
 from typing import Any
+import zlib
 
 import attrs
+from cattrs import UnstructureStrategy
 from cattrs.preconf import msgpack as cattrs_msgpack
 import msgpack
 from result import Err
@@ -23,6 +28,13 @@
 # The largest platform value is 1 MB; the rest is room for its envelope.
 MAX_FRAME_BYTES = 1_310_720
 MAC_BYTES = 16
+
+# A window of 4 kB holds the names of a few reports, in 32 kB of memory for
+# each stream; the default takes 256 kB.
+_WINDOW_BITS = 12
+_MEMORY_LEVEL = 5
+_COMPRESS_LEVEL = 1
+
 LENGTH = struct.Struct(">I")
 _SEQUENCE = struct.Struct(">Q")
 
@@ -44,11 +56,37 @@
     """
 
     def __init__(self, *types: type) -> None:
-        self._converter = cattrs_msgpack.make_converter()
+        # Positions instead of field names halve the size of a report.
+        self._converter = cattrs_msgpack.make_converter(
+            unstruct_strat=UnstructureStrategy.AS_TUPLE
+        )
+        self._converter.register_structure_hook_factory(
+            attrs.has, self._make_hook
+        )
         self._types: dict[str, type] = {}
         for message_type in types:
             self.register(message_type)
 
+    def _make_hook(self, cls: type) -> Callable[[Any, Any], Any]:
+        """Return a function that builds a class from a list of its fields."""
+        attrs.resolve_types(cls)
+        fields = [(item.name, item.type) for item in attrs.fields(cls)]
+
+        def build(values: Any, _: Any) -> Any:
+            if not isinstance(values, list) or len(values) != len(fields):
+                raise FrameError(
+                    f"{cls.__name__} has {values!r:.80}, "
+                    f"allowed: a list of {len(fields)} fields"
+                )
+            return cls(
+                **{
+                    name: self._converter.structure(value, kind)
+                    for (name, kind), value in zip(fields, values, strict=True)
+                }
+            )
+
+        return build
+
     def register(self, message_type: type) -> None:
         """Allow a message class; its name must be unique."""
         if not attrs.has(message_type):
@@ -99,6 +137,40 @@
         return self._converter.structure(fields, self._types[name])
 
 
+class Compressor:
+    """Compresses the bodies of one direction of a stream."""
+
+    def __init__(self) -> None:
+        self._stream = zlib.compressobj(
+            _COMPRESS_LEVEL, zlib.DEFLATED, -_WINDOW_BITS, _MEMORY_LEVEL
+        )
+
+    def compress(self, body: bytes) -> bytes:
+        """Return what the other side needs to read the body."""
+        return self._stream.compress(body) + self._stream.flush(
+            zlib.Z_SYNC_FLUSH
+        )
+
+
+class Expander:
+    """Expands the bodies of one direction of a stream."""
+
+    def __init__(self) -> None:
+        self._stream = zlib.decompressobj(-_WINDOW_BITS)
+
+    def expand(self, content: bytes) -> bytes:
+        """Return the body; its size is bounded like that of a frame."""
+        try:
+            body = self._stream.decompress(content, MAX_FRAME_BYTES)
+        except zlib.error as error:
+            raise FrameError(f"body is not compressed: {error}") from error
+        if self._stream.unconsumed_tail or self._stream.eof:
+            raise FrameError(
+                f"body has over {MAX_FRAME_BYTES} bytes or ends its stream"
+            )
+        return body
+
+
 def derive_key(secret: str, first: bytes, second: bytes) -> bytes:
     """Return the key for frames from the side that sent ``first``."""
     return hmac.digest(secret.encode(), b"frame" + first + second, "sha256")
