Limit the rate of permit renewals

Cause: an owner asked again for a borrowed permit as soon as a grant arrived with less than 2 s left. A giver whose own confirmation was about to end could only grant less, so both exchanged messages without a pause. Ruled out: no renewal below 2 s, which ends ejections that may go on.

--- a/src/hawthornmast/health/budget.py
+++ b/src/hawthornmast/health/budget.py
@@ -64,6 +64,7 @@
         self._reachable = reachable
         self._audit = audit
         self._asked_at = -math.inf
+        self._renewed: dict[int, float] = {}
         self._asked = 0
         self.permits = permits.PermitBook(self_id, hold_s=hold_s)
         self.owners = OwnerGroup(self_id, incarnation)
@@ -247,7 +248,12 @@
 
     def _renew(self, now: float) -> None:
         for index, upstream_id, expires in self.permits.list_borrowed(now):
-            if upstream_id and expires - now < RENEW_S:
+            if not upstream_id or expires - now >= RENEW_S:
+                continue
+            # A grant may have little left itself; asking again with each of
+            # them would never end.
+            if now >= self._renewed.get(index, -math.inf) + ASK_S:
+                self._renewed[index] = now
                 self._request(self.permits.owner_of(index), index, now)
 
     def _request(self, peer: str, index: int, now: float) -> None:
--- a/src/hawthornmast/health/tests/test_schedules.py
+++ b/src/hawthornmast/health/tests/test_schedules.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from hawthornmast.health.budget import EjectionBudget
 from hawthornmast.health.tests import schedules
 from hawthornmast.health.tests.schedules import Defect
 
@@ -17,6 +18,23 @@
         assert sum(o.ejections for o in found) > 100
 
 
+class TestMessages:
+    def test_renewals_are_bounded(self, monkeypatch):
+        # Guards against an owner that answers each grant with a request,
+        # because the granted permit itself has little time left.
+        send = EjectionBudget._request
+        sent = []
+
+        def count(self, *args):
+            sent.append(args)
+            assert len(sent) < 5000
+            send(self, *args)
+
+        monkeypatch.setattr(EjectionBudget, "_request", count)
+        found = schedules.run_schedules(1, 5248)
+        assert found[0].transfers > 0
+
+
 class TestChecks:
     """Guards against checks that would pass on a broken mechanism."""
 
