--- a/src/hawthornmast/forwarding/connection.py
+++ b/src/hawthornmast/forwarding/connection.py
@@ -10,7 +10,7 @@
 from hawthornmast.forwarding import pages
 from hawthornmast.forwarding import relay
 from hawthornmast.forwarding import sockets
-from hawthornmast.forwarding.forwarder import Deliver
+from hawthornmast.forwarding.delivery import Deliver
 from hawthornmast.forwarding.forwarder import Forwarder
 from hawthornmast.forwarding.headers import RawHeaders
 from hawthornmast.forwarding.inputs import BadInputError
--- a/src/hawthornmast/forwarding/forwarder.py
+++ b/src/hawthornmast/forwarding/forwarder.py
@@ -1,6 +1,5 @@
 """Runs a client's request on upstreams and decides its outcome."""
 
-from collections.abc import Awaitable
 from collections.abc import Callable
 import math
 
@@ -13,6 +12,11 @@
 from hawthornmast.common import StepError
 from hawthornmast.common import Upstream
 from hawthornmast.forwarding import relay
+from hawthornmast.forwarding.delivery import BUFFER_BYTES
+from hawthornmast.forwarding.delivery import Deliver
+from hawthornmast.forwarding.delivery import MAX_ATTEMPTS
+from hawthornmast.forwarding.delivery import OLD_BUFFER_BYTES
+from hawthornmast.forwarding.delivery import OpenScope
 from hawthornmast.forwarding.headers import filter_headers
 from hawthornmast.forwarding.headers import RawHeaders
 from hawthornmast.forwarding.judgement import is_own
@@ -25,6 +29,7 @@
 from hawthornmast.forwarding.messages import ClientRequest
 from hawthornmast.forwarding.messages import refuse
 from hawthornmast.forwarding.messages import Trace
+from hawthornmast.forwarding.relaying import Relayer
 from hawthornmast.forwarding.runtime import ServiceDirectory
 from hawthornmast.forwarding.runtime import ServiceRuntime
 from hawthornmast.forwarding.tickets import FirstUse
@@ -36,22 +41,10 @@
 from hawthornmast.forwarding.translation import digest_request
 from hawthornmast.forwarding.translation import refuse_busy
 from hawthornmast.forwarding.translation import wrong_instance
-from hawthornmast.forwarding.upstream import Exchange
 from hawthornmast.forwarding.upstream import Progress
 from hawthornmast.forwarding.upstream import UpstreamClient
 from hawthornmast.health import Evidence
 
-BUFFER_BYTES = 65_536
-# An HTTP/1.0 client cannot tell a cut body from a whole one, so its answers
-# are read whole, up to this length.
-OLD_BUFFER_BYTES = 1_048_576
-MAX_ATTEMPTS = 4
-RELAY_S = 5.0
-
-Deliver = Callable[[Answer, Exchange], Awaitable[bool]]
-# Opens the scope that ends a request at a time.
-OpenScope = Callable[[float], trio.CancelScope]
-
 
 @attrs.define(eq=False)
 class _Attempts:
@@ -93,6 +86,7 @@
         self._upstreams = upstreams
         self._tickets = tickets
         self._mark = mark
+        self._relayer = Relayer(directory, upstreams, mark=mark, clock=clock)
         self._clock = clock
 
     def check(self, request: ClientRequest) -> Answer | None:
@@ -185,7 +179,7 @@
         if isinstance(selected, Answer):
             return selected
         if selected is None:
-            return await self._relay(request, open_scope, trace, deliver)
+            return await self._relayer.run(request, open_scope, trace, deliver)
         runtime, entry = selected
         service = runtime.service
         trace.entry, trace.owner = entry.name, entry.owner
@@ -401,70 +395,3 @@
         if attempts.count < MAX_ATTEMPTS and runtime.allow_retry(entry):
             return None
         return attempts.last
-
-    async def _relay(
-        self,
-        request: ClientRequest,
-        open_scope: OpenScope,
-        trace: Trace,
-        deliver: Deliver,
-    ) -> Answer:
-        """Pass a request to an owner of its service, once.
-
-        The request has no ticket, so an owner runs it only when it is
-        idempotent.
-        """
-        owners = self._directory.owners(request.service) or []
-        if not owners:
-            return refuse_busy("no-owner")
-        headers = filter_headers(request.headers)
-        mark = self._mark.sign(
-            request.request_id, request.method, request.target
-        )
-        headers.append((relay.HEADER, mark))
-        allowed_s = min(RELAY_S, request.timeout_s or RELAY_S)
-        deadline = request.arrived + allowed_s
-        progress = Progress()
-        with open_scope(deadline):
-            # Owners of the own zone come first; another is tried only when
-            # no connection could be made.
-            for owner in owners[:MAX_ATTEMPTS]:
-                trace.upstreams.append(owner.instance_id)
-                progress = Progress()
-                sent = await self._upstreams.send(
-                    relay.as_upstream(owner),
-                    build_request(request, headers, deadline - self._clock()),
-                    progress,
-                    deadline=deadline,
-                    fresh=False,
-                    buffer_bytes=(
-                        OLD_BUFFER_BYTES if request.old else BUFFER_BYTES
-                    ),
-                )
-                if not isinstance(sent, Err):
-                    return await _deliver_relayed(
-                        request, sent.ok_value, deliver
-                    )
-                if progress.started:
-                    break
-        if progress.started:
-            return refuse(502, "relay-failed", outcome=Outcome.UNKNOWN)
-        return refuse_busy("no-owner")
-
-
-async def _deliver_relayed(
-    request: ClientRequest, exchange: Exchange, deliver: Deliver
-) -> Answer:
-    own = is_own(exchange, request)
-    try:
-        if not own:
-            return refuse(502, "relay-failed", outcome=Outcome.UNKNOWN)
-        answer = build_answer(request, exchange, relayed=True)
-        if not exchange.complete:
-            if request.old:
-                return refuse(502, "too-long", outcome=Outcome.UNKNOWN)
-            answer.sent = True
-            answer.cut = not await deliver(answer, exchange)
-        return answer
-    finally:
-        exchange.release(own=own)
