Keep a failing message handler from ending the daemon

Cause: an exception in a handler of a peer message went through the nursery of the stream and ended the process. Before: the new test ended with the handler's KeyError. After: the failure is logged and counted, a question gets an empty answer, and the stream goes on.

--- /dev/null
+++ b/src/hawthornmast/peers/handling.py
@@ -0,0 +1,131 @@
+"""Handlers of messages, and questions with their answers."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import inspect
+import itertools
+import logging
+from typing import Any
+
+from result import Err
+from result import Ok
+from result import Result
+import trio
+
+from hawthornmast.audit import log_event
+from hawthornmast.common import StepError
+from hawthornmast.peers import messages
+
+_LOG = logging.getLogger("hawthornmast.peers")
+
+Handler = Callable[[Any, str], Any | Awaitable[Any]]
+Reply = Callable[[messages.Answer], None]
+
+
+class MessageHandlers:
+    """Passes messages to their handlers and answers to those who asked.
+
+    A handler that fails ends neither the stream nor the process: one
+    unexpected message would else stop all work of this daemon.
+    """
+
+    def __init__(self) -> None:
+        self._handlers: dict[type, Handler] = {}
+        self._answers: dict[int, tuple[str, trio.MemorySendChannel[Any]]] = {}
+        self._numbers = itertools.count(1)
+        self.failures = 0
+
+    def register(self, message_type: type, handler: Handler) -> None:
+        """Pass messages of a type to ``handler(message, sender)``."""
+        self._handlers[message_type] = handler
+
+    async def ask(
+        self,
+        instance_id: str,
+        message: Any,
+        timeout: float,
+        *,
+        post: Callable[[str, Any], bool],
+    ) -> Result[Any, StepError]:
+        """Send a question; wait up to ``timeout`` seconds for the answer."""
+        number = next(self._numbers)
+        sender, receiver = trio.open_memory_channel[Any](1)
+        self._answers[number] = (instance_id, sender)
+        detail = f"no answer in {timeout} s"
+        try:
+            question = messages.Question(number=number, body=message)
+            if not post(instance_id, question):
+                detail = "not connected"
+            else:
+                with trio.move_on_after(timeout):
+                    return Ok(await receiver.receive())
+        finally:
+            del self._answers[number]
+        return Err(StepError(step="ask-peer", detail=detail, peer=instance_id))
+
+    def dispatch(
+        self,
+        message: Any,
+        sender: str,
+        *,
+        reply: Reply,
+        nursery: trio.Nursery,
+    ) -> None:
+        """Handle a message; async handlers run in the nursery."""
+        if isinstance(message, messages.Question):
+            nursery.start_soon(self._answer, message, sender, reply)
+        elif isinstance(message, messages.Answer):
+            self._take_answer(message, sender)
+        else:
+            found = self._call(message, sender)
+            if inspect.isawaitable(found):
+                nursery.start_soon(self._await, found, message, sender)
+
+    def _take_answer(self, answer: messages.Answer, sender: str) -> None:
+        waiting = self._answers.get(answer.number)
+        if waiting is None or waiting[0] != sender:
+            return
+        try:
+            waiting[1].send_nowait(answer.body)
+        except trio.WouldBlock:
+            # A second answer to the same question is dropped.
+            pass
+
+    async def _answer(
+        self, question: messages.Question, sender: str, reply: Reply
+    ) -> None:
+        body = self._call(question.body, sender)
+        if inspect.isawaitable(body):
+            body = await self._await(body, question.body, sender)
+        reply(messages.Answer(number=question.number, body=body))
+
+    def _call(self, message: Any, sender: str) -> Any:
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            return None
+        try:
+            return handler(message, sender)
+        except Exception:
+            self._note_failure(message, sender)
+            return None
+
+    async def _await(
+        self, awaitable: Awaitable[Any], message: Any, sender: str
+    ) -> Any:
+        try:
+            return await awaitable
+        except Exception:
+            self._note_failure(message, sender)
+            return None
+
+    def _note_failure(self, message: Any, sender: str) -> None:
+        self.failures += 1
+        log_event(
+            _LOG,
+            "peer-message-failed",
+            level=logging.ERROR,
+            step="handle-message",
+            peer=sender,
+            type=type(message).__name__,
+        )
+        _LOG.debug("failure of a handler", exc_info=True)
--- a/src/hawthornmast/peers/network.py
+++ b/src/hawthornmast/peers/network.py
@@ -1,10 +1,8 @@
 """Streams of one daemon to its neighbours."""
 
-from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 import contextlib
-import inspect
 import itertools
 import logging
 import math
@@ -12,8 +10,6 @@
 from typing import Any
 
 import attrs
-from result import Err
-from result import Ok
 from result import Result
 import trio
 import trio.lowlevel
@@ -23,12 +19,12 @@
 from hawthornmast.common import StepError
 from hawthornmast.peers import codec
 from hawthornmast.peers import messages
+from hawthornmast.peers.handling import Handler
+from hawthornmast.peers.handling import MessageHandlers
 from hawthornmast.peers.session import Session
 
 _LOG = logging.getLogger("hawthornmast.peers")
 
-Handler = Callable[[Any, str], Any | Awaitable[Any]]
-
 HEARTBEAT_S = 0.5
 SILENCE_S = 1.5
 """Silence after which a close peer counts as unreachable."""
@@ -99,13 +95,11 @@
         self._incarnation = incarnation
         self._secrets = secrets
         self._codec = codec.MessageCodec(messages.Heartbeat)
-        self._handlers: dict[type, Handler] = {}
+        self._handlers = MessageHandlers()
         self._links: dict[str, list[_Link]] = {}
         self._neighbours: dict[str, Instance] = {}
         self._close: frozenset[str] | None = None
         self._dialers: dict[str, trio.CancelScope] = {}
-        self._answers: dict[int, tuple[str, trio.MemorySendChannel[Any]]] = {}
-        self._numbers = itertools.count(1)
         self._unauthenticated = 0
         self._nursery: trio.Nursery | None = None
         self._listeners: list[trio.SocketListener] = []
@@ -123,7 +117,7 @@
         """
         self._codec.register(message_type)
         if handler is not None:
-            self._handlers[message_type] = handler
+            self._handlers.register(message_type, handler)
 
     def watch(self, callback: Callable[[str, bool], None]) -> None:
         """Call ``callback(instance_id, reachable)`` on each change."""
@@ -226,23 +220,9 @@
         self, instance_id: str, message: Any, timeout: float
     ) -> Result[Any, StepError]:
         """Send a question; wait up to ``timeout`` seconds for the answer."""
-        number = next(self._numbers)
-        sender, receiver = trio.open_memory_channel[Any](1)
-        self._answers[number] = (instance_id, sender)
-        try:
-            question = messages.Question(number=number, body=message)
-            if not self.post(instance_id, question):
-                return self._fail("ask-peer", "not connected", instance_id)
-            with trio.move_on_after(timeout):
-                return Ok(await receiver.receive())
-            return self._fail(
-                "ask-peer", f"no answer in {timeout} s", instance_id
-            )
-        finally:
-            del self._answers[number]
-
-    def _fail(self, step: str, detail: str, peer: str) -> Err[StepError]:
-        return Err(StepError(step=step, detail=detail, peer=peer))
+        return await self._handlers.ask(
+            instance_id, message, timeout, post=self.post
+        )
 
     def _choose_link(self, instance_id: str) -> _Link | None:
         links = self._links.get(instance_id)
@@ -445,39 +425,27 @@
     def _dispatch(
         self, link: _Link, message: Any, nursery: trio.Nursery
     ) -> None:
-        sender = link.session.peer_id
         if isinstance(message, messages.Heartbeat):
             interval = min(
                 max(message.interval_s, HEARTBEAT_S), DISTANT_HEARTBEAT_S
             )
             link.silence_s = _SILENT_BEATS * interval
             return
-        if isinstance(message, messages.Question):
-            nursery.start_soon(self._answer, link, message)
-            return
-        if isinstance(message, messages.Answer):
-            waiting = self._answers.get(message.number)
-            if waiting is not None and waiting[0] == sender:
-                with contextlib.suppress(trio.WouldBlock):
-                    waiting[1].send_nowait(message.body)
-            return
-        handler = self._handlers.get(type(message))
-        if handler is None:
-            return
-        result = handler(message, sender)
-        if inspect.isawaitable(result):
-            nursery.start_soon(_await, result)
 
-    async def _answer(self, link: _Link, question: messages.Question) -> None:
-        handler = self._handlers.get(type(question.body))
-        body = None
-        if handler is not None:
-            body = handler(question.body, link.session.peer_id)
-            if inspect.isawaitable(body):
-                body = await body
-        answer = messages.Answer(number=question.number, body=body)
-        with contextlib.suppress(trio.WouldBlock, trio.BrokenResourceError):
-            link.outbox.send_nowait(answer)
+        def reply(answer: messages.Answer) -> None:
+            with contextlib.suppress(
+                trio.WouldBlock, trio.BrokenResourceError
+            ):
+                link.outbox.send_nowait(answer)
+
+        self._handlers.dispatch(
+            message, link.session.peer_id, reply=reply, nursery=nursery
+        )
+
+    @property
+    def failed_messages(self) -> int:
+        """Messages whose handler failed."""
+        return self._handlers.failures
 
     def count_bytes(self) -> tuple[int, int]:
         """Return the bytes sent and received on all streams so far."""
@@ -496,10 +464,6 @@
         return trio.current_time() - max(link.heard_at for link in links)
 
 
-async def _await(awaitable: Awaitable[Any]) -> None:
-    await awaitable
-
-
 def _unwrap(error: BaseException) -> BaseException:
     """Return the first exception inside nested groups."""
     while isinstance(error, BaseExceptionGroup):
--- a/src/hawthornmast/peers/tests/test_network.py
+++ b/src/hawthornmast/peers/tests/test_network.py
@@ -98,6 +98,23 @@
         assert network_b.reachable("a") is works
         nursery.cancel_scope.cancel()
 
+    async def test_failing_handler_ends_nothing(self, nursery):
+        # Guards against a message that stops a daemon through its handler.
+        a, b = await _make_instance("a"), await _make_instance("b")
+        network_a, _ = _make_network(a, ("s",))
+        network_b, _ = _make_network(b, ("s",))
+        network_b.register(Note, lambda note, sender: {}[note.text])
+        network_a.set_neighbours([b])
+        await network_b.start(nursery)
+        await network_a.start(nursery)
+        await _wait_until(lambda: network_a.reachable("b"))
+        assert network_a.post("b", Note(text="missing"))
+        answer = await network_a.ask("b", Note(text="missing"), 2)
+        assert answer.unwrap() is None
+        assert network_b.failed_messages == 2
+        assert network_a.reachable("b")
+        nursery.cancel_scope.cancel()
+
     async def test_peer_that_closes_is_unreachable(self, nursery):
         a, b = await _make_instance("a"), await _make_instance("b")
         network_a, _ = _make_network(a, ("s",))
