--- a/src/hawthornmast/health/monitor.py
+++ b/src/hawthornmast/health/monitor.py
@@ -278,11 +278,14 @@
         if not failed:
             state.score.add_ok(self._self_id)
             return
+        before = state.score.level
         self._add_failed(state, self._self_id, now, 1)
         self._evaluate(state, now)
         if state.sick:
             self._apply(now)
-        self._send(now)
+        # The failure that reaches the threshold does not wait for the report
+        # limit: the others may need it to use their permits.
+        self._send(now, at_once=before < scores.LOW <= state.score.level)
 
     def _add_failed(
         self, state: UpstreamState, source: str, now: float, count: int
--- a/src/hawthornmast/health/tests/test_monitor.py
+++ b/src/hawthornmast/health/tests/test_monitor.py
@@ -78,6 +78,23 @@
         )
         assert sim.monitors["a"].list_ejected() == ["u0"]
 
+    def test_report_threshold_at_once(self):
+        # Guards against a failure that reaches the threshold and waits for
+        # the report limit and the next tick, while requests still fail.
+        sim = Simulation(1, Service(name="billing", owner="team", floor=0.7))
+        monitors = [sim.start(name) for name in OWNERS]
+        for monitor in monitors:
+            monitor.update(make_upstreams(7), OWNERS, view="1")
+        begin = sim.now + 20.015
+        for index, owner in enumerate((0, 1, 2, 0, 0)):
+            # The last two failures of one owner are 10 ms apart.
+            sim.run_until(begin + 0.3 * index - 0.29 * (index == 4))
+            monitor = monitors[owner]
+            monitor.finish(monitor.begin("u1", "read"), Evidence.FAILED)
+        sim.run_until(sim.now + 0.005)
+        for monitor in monitors:
+            assert monitor.describe("u1")["failed_in_run"] == 5
+
 
 class TestReturn:
     """Guards against an upstream that stays out or returns too soon."""
