Count slow requests when another request finishes

Cause: a request becomes evidence of slowness only at the next tick, up to 100 ms after it passes the limit.

--- a/src/hawthornmast/health/monitor.py
+++ b/src/hawthornmast/health/monitor.py
@@ -118,6 +118,9 @@
     def finish(self, attempt: Attempt, evidence: Evidence) -> None:
         """Record what a request showed about its upstream."""
         self._outstanding.remove(attempt)
+        # Other requests of the entry may have become slow since the last
+        # tick; waiting for the next one delays their evidence by 100 ms.
+        self._count_slow(attempt.entry_name, self._clock())
         state = self._states.get(attempt.upstream_id)
         if evidence is Evidence.SHED or evidence is Evidence.NEUTRAL:
             return
@@ -235,12 +238,7 @@
         """Do what time requires; called every 100 ms."""
         now = self._clock()
         for name in self._outstanding.entry_names:
-            limit = self._baseline.get_limit(name)
-            for attempt in self._outstanding.pop_slow(name, limit, now):
-                attempt.counted = True
-                state = self._states.get(attempt.upstream_id)
-                if state is not None and not state.is_cold(now):
-                    self._record(state, failed=True, now=now)
+            self._count_slow(name, now)
         if now - self._decayed >= SOURCE_DECAY_S:
             self._decayed = now
             for state in self._states.values():
@@ -248,6 +246,14 @@
         self._apply(now)
         self._send(now)
 
+    def _count_slow(self, entry_name: str, now: float) -> None:
+        limit = self._baseline.get_limit(entry_name)
+        for attempt in self._outstanding.pop_slow(entry_name, limit, now):
+            attempt.counted = True
+            state = self._states.get(attempt.upstream_id)
+            if state is not None and not state.is_cold(now):
+                self._record(state, failed=True, now=now)
+
     def describe(self, upstream_id: str) -> dict[str, object]:
         """Return what the standing of an upstream rests on."""
         state = self._states.get(upstream_id)
--- a/src/hawthornmast/health/tests/test_monitor.py
+++ b/src/hawthornmast/health/tests/test_monitor.py
@@ -95,6 +95,26 @@
         for monitor in monitors:
             assert monitor.describe("u1")["failed_in_run"] == 5
 
+    def test_count_slow_before_next_tick(self):
+        # Guards against slow requests that are counted up to 100 ms late
+        # though other requests finish meanwhile.
+        sim = Simulation(1, Service(name="billing", owner="team", floor=0.7))
+        monitor = sim.start("a")
+        monitor.update(make_upstreams(7), ["a"], view="1")
+        sim.run_until(sim.now + 20.01)
+        for _ in range(16):
+            attempt = monitor.begin("u2", "read")
+            sim.run_until(sim.now + 0.02)
+            monitor.finish(attempt, Evidence.OK)
+        sim.run_until(round(sim.now, 1) + 0.12)
+        monitor.begin("u1", "read")
+        sim.run_until(sim.now + 0.09)
+        attempt = monitor.begin("u2", "read")
+        sim.run_until(sim.now + 0.02)
+        assert monitor.describe("u1")["failed_in_run"] == 0
+        monitor.finish(attempt, Evidence.OK)
+        assert monitor.describe("u1")["failed_in_run"] == 1
+
 
 class TestReturn:
     """Guards against an upstream that stays out or returns too soon."""
