Apply limits.answer_buffer_bytes

Cause: the setting was read and checked, but forwarding held 65536 bytes of a response whatever its value. The new test of a limit of 10 bytes found the answer of a ticket kept; now the repeat gets 409.

--- a/src/hawthornmast/daemon/member.py
+++ b/src/hawthornmast/daemon/member.py
@@ -186,6 +186,7 @@
                 connections=limits.max_connections,
                 header_bytes=limits.max_header_bytes,
                 body_bytes=limits.max_body_bytes,
+                answer_buffer_bytes=limits.answer_buffer_bytes,
                 idle_s=limits.idle_timeout_ms / 1000,
                 header_s=limits.header_timeout_ms / 1000,
                 body_s=limits.body_timeout_ms / 1000,
--- a/src/hawthornmast/forwarding/forwarder.py
+++ b/src/hawthornmast/forwarding/forwarder.py
@@ -69,6 +69,8 @@
         Tickets of this incarnation.
     mark
         Signs relayed requests; without secrets nothing is relayed.
+    buffer_bytes
+        Bytes of a response that are held before it is streamed.
     clock
         Monotonic time.
     """
@@ -80,13 +82,21 @@
         tickets: TicketBook,
         *,
         mark: relay.RelayMark,
+        buffer_bytes: int = BUFFER_BYTES,
         clock: Callable[[], float] = trio.current_time,
     ) -> None:
         self._directory = directory
         self._upstreams = upstreams
         self._tickets = tickets
         self._mark = mark
-        self._relayer = Relayer(directory, upstreams, mark=mark, clock=clock)
+        self._buffer_bytes = buffer_bytes
+        self._relayer = Relayer(
+            directory,
+            upstreams,
+            mark=mark,
+            buffer_bytes=buffer_bytes,
+            clock=clock,
+        )
         self._clock = clock
 
     def check(self, request: ClientRequest) -> Answer | None:
@@ -162,7 +172,7 @@
         finally:
             # A streamed answer is not kept.
             kept = None if answer is None or answer.sent else answer
-            if kept is not None and len(kept.body) > BUFFER_BYTES:
+            if kept is not None and len(kept.body) > self._buffer_bytes:
                 kept = None
             size = len(kept.body) + 512 if kept else 0
             self._tickets.settle(used.record, kept, size=size)
@@ -300,7 +310,9 @@
                 deadline=attempts.deadline,
                 # Other kept connections may have been closed as well.
                 fresh=not entry.idempotent or attempts.count > 1,
-                buffer_bytes=OLD_BUFFER_BYTES if request.old else BUFFER_BYTES,
+                buffer_bytes=(
+                    OLD_BUFFER_BYTES if request.old else self._buffer_bytes
+                ),
             )
             if isinstance(sent, Err):
                 evidence = judge_error(sent.err_value, progress)
--- a/src/hawthornmast/forwarding/inputs.py
+++ b/src/hawthornmast/forwarding/inputs.py
@@ -25,6 +25,8 @@
         Size of a request's body, which is held in memory.
     total_body_bytes
         Size of all bodies held at once.
+    answer_buffer_bytes
+        Bytes of a response that are held before it is streamed.
     idle_s, header_s, body_s, write_s
         Seconds to begin a request, to complete its head, to complete its
         body, and to take an answer.
@@ -35,6 +37,7 @@
     header_count: int = 100
     body_bytes: int = 1_048_576
     total_body_bytes: int = 33_554_432
+    answer_buffer_bytes: int = 65_536
     idle_s: float = 60.0
     header_s: float = 5.0
     body_s: float = 10.0
--- a/src/hawthornmast/forwarding/relaying.py
+++ b/src/hawthornmast/forwarding/relaying.py
@@ -6,7 +6,6 @@
 
 from hawthornmast.common import Outcome
 from hawthornmast.forwarding import relay
-from hawthornmast.forwarding.delivery import BUFFER_BYTES
 from hawthornmast.forwarding.delivery import Deliver
 from hawthornmast.forwarding.delivery import MAX_ATTEMPTS
 from hawthornmast.forwarding.delivery import OLD_BUFFER_BYTES
@@ -39,6 +38,8 @@
         Connections, also to other daemons.
     mark
         Signs relayed requests.
+    buffer_bytes
+        Bytes of a response that are held before it is streamed.
     clock
         Monotonic time.
     """
@@ -49,11 +50,13 @@
         upstreams: UpstreamClient,
         *,
         mark: relay.RelayMark,
+        buffer_bytes: int,
         clock: Callable[[], float],
     ) -> None:
         self._directory = directory
         self._upstreams = upstreams
         self._mark = mark
+        self._buffer_bytes = buffer_bytes
         self._clock = clock
 
     async def run(
@@ -92,7 +95,7 @@
                     deadline=deadline,
                     fresh=False,
                     buffer_bytes=(
-                        OLD_BUFFER_BYTES if request.old else BUFFER_BYTES
+                        OLD_BUFFER_BYTES if request.old else self._buffer_bytes
                     ),
                 )
                 if not isinstance(sent, Err):
--- a/src/hawthornmast/forwarding/server.py
+++ b/src/hawthornmast/forwarding/server.py
@@ -92,7 +92,11 @@
         self.limits = limits or ClientLimits()
         self.mark = relay.RelayMark(peer_secrets)
         self.forwarder = Forwarder(
-            directory, upstreams, tickets, mark=self.mark
+            directory,
+            upstreams,
+            tickets,
+            mark=self.mark,
+            buffer_bytes=self.limits.answer_buffer_bytes,
         )
         self.closing = False
         self.body_bytes = 0
--- a/src/hawthornmast/forwarding/tests/test_tickets.py
+++ b/src/hawthornmast/forwarding/tests/test_tickets.py
@@ -4,6 +4,7 @@
 import pytest
 import trio
 
+from hawthornmast import forwarding
 from hawthornmast.forwarding.tests.support import make_instance
 from hawthornmast.forwarding.tests.support import outcome
 from hawthornmast.forwarding.tests.support import run_fleet
@@ -215,3 +216,24 @@
             answer = await fleet.charge()
             assert outcome(answer) == (503, "not-run", "deadline")
             assert fleet.runs() == 0
+
+
+class TestKeptAnswers:
+    @pytest.mark.parametrize(
+        ("answer_buffer_bytes", "status"), [(1000, 200), (10, 409)]
+    )
+    async def test_answer_up_to_the_limit_is_kept(
+        self, answer_buffer_bytes, status
+    ):
+        # Guards against a limit on held answers that no code reads.
+        limits = forwarding.ClientLimits(
+            answer_buffer_bytes=answer_buffer_bytes
+        )
+        async with run_fleet(limits=limits) as fleet:
+            fleet.set_faults(body_bytes=100)
+            ticket = fleet.tickets.issue("billing")[0]
+            first = await fleet.charge(ticket)
+            second = await fleet.charge(ticket)
+        assert (first.status, len(first.body)) == (200, 100)
+        assert second.status == status
+        assert fleet.runs("c") == 1
