Move the needs of documents to a module and bound the owners of a zone

A service could ask for 64 owners in a zone, but in a large fleet only 8 daemons of a zone keep its document, so that the others never served; 8 are allowed now.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -497,7 +497,7 @@
         }
         for key, text in documents.items():
             revision += 1
-            keep = daemon.is_needed(key)
+            keep = daemon.needs.is_needed(key)
             digest = hashlib.md5(text.encode()).digest()
             if keep:
                 daemon.store.accept(key, revision, text.encode(), keep=True)
--- a/src/hawthornmast/catalogue/service.py
+++ b/src/hawthornmast/catalogue/service.py
@@ -25,6 +25,12 @@
     max_length=253,
 )
 # The path is compared with decoded segments, so it is written plainly.
+MAX_OWNERS_PER_ZONE = 8
+"""Daemons of a zone that may serve a service.
+
+In a large fleet exactly these keep its document.
+"""
+
 _PATH = rules.Text(
     pattern=r"/|(/(?!\.{1,2}(/|\Z))[A-Za-z0-9._~!$&'()*+,=:@-]+)+",
     allowed="/ or segments that each follow a slash, without escapes, dot"
@@ -165,7 +171,9 @@
     floor: float = attrs.field(default=0.7, metadata=describe(rules.Share()))
     owners_per_zone: int = attrs.field(
         default=1,
-        metadata=describe(rules.Whole(low=1, high=64, unit="daemons")),
+        metadata=describe(
+            rules.Whole(low=1, high=MAX_OWNERS_PER_ZONE, unit="daemons")
+        ),
     )
     zones: tuple[str, ...] = attrs.field(
         default=(),
--- a/src/hawthornmast/daemon/member.py
+++ b/src/hawthornmast/daemon/member.py
@@ -22,6 +22,7 @@
 from hawthornmast.daemon import messages
 from hawthornmast.daemon.confirmation import ViewConfirmation
 from hawthornmast.daemon.explanation import Explanation
+from hawthornmast.daemon.needs import DocumentNeeds
 from hawthornmast.daemon.ondemand import OnDemandDocuments
 from hawthornmast.daemon.probes import LeavingProber
 from hawthornmast.daemon.reports import EjectionMeter
@@ -55,15 +56,6 @@
 
 WIDEN_DAEMONS = 4
 
-SMALL_FLEET_SERVICES = 256
-"""Up to this many services every daemon keeps all catalogue documents.
-
-Above it a daemon keeps those that it may have to serve.
-"""
-
-CANDIDATES_PER_ZONE = 8
-"""Daemons in each zone that keep the document of a service."""
-
 
 @contextlib.contextmanager
 def _naming(key: str, port: int) -> Iterator[None]:
@@ -91,8 +83,6 @@
         self._random = random.Random(self.incarnation)
         self._leaving = False
         self._serving = False
-        self._is_large = False
-        self._refresh_due = False
         self._stopped = trio.Event()
         self._widen_at = trio.current_time() + WIDEN_S
         self._groups: frozenset[tuple[str, ...]] = frozenset()
@@ -137,12 +127,18 @@
             self_id=self.instance.instance_id,
             reachable=self.network.reachable,
         )
+        self.needs = DocumentNeeds(
+            instance=self.instance,
+            directory=self.directory,
+            store=self.store,
+            is_asked_for=lambda name: name in self.documents,
+        )
         self.distributor = self._make_distributor()
         self.documents = OnDemandDocuments(
             store=self.store,
             services=self.services,
             fetch=self.distributor.fetch,
-            refresh=self._note_unneeded,
+            refresh=self.needs.request_refresh,
         )
         self.services.on_unknown = self.documents.prepare
         self.server = self._make_server()
@@ -154,8 +150,8 @@
             platform=self.platform,
             post=self.network.post,
             ask=self.network.ask,
-            is_needed=self.is_needed,
-            holders=self._find_holders,
+            is_needed=self.needs.is_needed,
+            holders=self.needs.find_holders,
             bootstrap_keys=(
                 DAEMONS_KEY,
                 ZONE_PREFIX + self.instance.zone,
@@ -352,19 +348,12 @@
 
     def _refresh_documents(self) -> None:
         """Fetch what is newly needed; drop what is needed no longer."""
-        self._refresh_due = False
-        self._is_large = self._count_services() > SMALL_FLEET_SERVICES
+        self.needs.count_again()
         self.distributor.refresh()
         self.services.forget_dropped(
             lambda key: self.store.document(key) is not None
         )
 
-    def _note_unneeded(self) -> None:
-        self._refresh_due = True
-
-    def _count_services(self) -> int:
-        return self.store.count_keys(SERVICES_PREFIX)
-
     def _connect_peers(self) -> None:
         """Dial the neighbours and the members of all own groups."""
         wanted = {item.instance_id for item in self.directory.neighbours()}
@@ -385,33 +374,6 @@
                 notice = messages.DaemonLeaving(incarnation=self.incarnation)
                 self.network.post(peer_id, notice)
 
-    def is_needed(self, key: str) -> bool:
-        """Return whether this daemon keeps the document of a key."""
-        if is_daemons_key(key):
-            return True
-        name = key.removeprefix(SERVICES_PREFIX)
-        if name == key:
-            name = key.removeprefix(UPSTREAMS_PREFIX)
-        if name == key:
-            return False
-        # Counting looks at every key, so a large fleet is counted again only
-        # when the documents are refreshed.
-        if not self._is_large:
-            if self._count_services() <= SMALL_FLEET_SERVICES:
-                return True
-            self._is_large = self._refresh_due = True
-        if key.startswith(SERVICES_PREFIX) and name in self.documents:
-            return True
-        return self.instance.instance_id in self._find_holders(key)
-
-    def _find_holders(self, key: str) -> list[str]:
-        """Return the daemons of this zone that keep a service's documents."""
-        name = key.rpartition("/")[2]
-        candidates = self.directory.candidates(
-            name, self.instance.zone, CANDIDATES_PER_ZONE
-        )
-        return [item.instance_id for item in candidates]
-
     async def _tick_forever(self) -> None:
         counted = (0, 0)
         while not self._stopped.is_set():
@@ -420,7 +382,7 @@
             self._ejections.update(self.services)
             self._connect_peers_if_changed()
             self._widen_start_up()
-            if self._refresh_due:
+            if self.needs.refresh_due:
                 self._refresh_documents()
             counted = self._count_peers(counted)
             await trio.sleep(TICK_S)
