--- a/src/hawthornmast/health/monitor.py
+++ b/src/hawthornmast/health/monitor.py
@@ -28,6 +28,7 @@
 from hawthornmast.health.reports import Reporter
 from hawthornmast.health.standing import Evidence
 from hawthornmast.health.standing import Standing
+from hawthornmast.health.state import compute_ramp_part
 from hawthornmast.health.state import UpstreamState
 
 AVOID_S = 5.0
@@ -88,7 +89,6 @@
         self._view = ""
         self._ramp_part = 1.0
         self._states: dict[str, UpstreamState] = {}
-        self._watched: set[str] = set()
         self._baseline = LatencyBaseline()
         self._outstanding = OutstandingAttempts()
         self._decayed = clock()
@@ -176,10 +176,8 @@
             if not first:
                 state.holdoff.start_ramp(now)
             self._states[upstream_id] = state
-            self._watched.add(upstream_id)
         for upstream_id in self._states.keys() - listed:
             del self._states[upstream_id]
-            self._watched.discard(upstream_id)
             self.budget.permits.release(upstream_id, now)
         size = len(listed)
         allowed = max(0, size - self._service.count_floor(size))
@@ -259,15 +257,8 @@
         state = self._states.get(upstream_id)
         if state is None:
             return {}
-        now = self._clock()
         return {
-            "score": round(state.score.level, 2),
-            "failed_in_run": state.score.run_failed,
-            "ok_in_run": state.score.run_ok,
-            "sick": state.sick,
-            "denied": state.denied,
-            "ejected_for_s": round(max(0.0, state.ejected_until - now), 3),
-            "hold_off_for_s": round(max(0.0, state.holdoff.until - now), 3),
+            **state.describe(self._clock()),
             "permits_of_group": self.budget.permits.budget,
         }
 
@@ -321,10 +312,8 @@
             or (score.level >= scores.LOW and not score.works_for_some())
         ):
             state.avoid_until = now + AVOID_S
-            self._watched.add(state.upstream_id)
         if score.level < scores.LOW:
             return
-        self._watched.add(state.upstream_id)
         rate = self._estimate_rate(state)
         sick = score.is_sick(now, rate, len(self.budget.owners.members))
         if sick and not state.sick:
@@ -373,30 +362,11 @@
             elif not ejected and upstream_id in before:
                 self._end_ejection(state, now)
             state.was_ejected = ejected
-        self._limit_ramps(now)
-        for upstream_id, state in self._states.items():
-            if self._publish(state, now) == _NORMAL and (
-                state.score.level < scores.LOW
-            ):
-                self._watched.discard(upstream_id)
-            else:
-                self._watched.add(upstream_id)
-
-    def _limit_ramps(self, now: float) -> None:
-        """Let slow start take no more capacity than ejections leave.
-
-        After a restart of all upstreams their ramps together would leave
-        the service far below its floor.
-        """
-        states = self._states.values()
-        missing = sum(
-            1.0 - state.holdoff.get_weight(now)
-            for state in states
-            if not state.was_ejected
+        self._ramp_part = compute_ramp_part(
+            self._states.values(), self.budget.permits.budget, now
         )
-        ejected = sum(state.was_ejected for state in states)
-        room = max(0, self.budget.permits.budget - ejected)
-        self._ramp_part = min(1.0, room / missing) if missing else 1.0
+        for state in self._states.values():
+            self._publish(state, now)
 
     def _start_ejection(self, state: UpstreamState, now: float) -> None:
         state.holdoff.start(now)
@@ -428,17 +398,16 @@
             step="trial",
         )
 
-    def _publish(self, state: UpstreamState, now: float) -> Standing:
+    def _publish(self, state: UpstreamState, now: float) -> None:
         standing = self._compute_standing(state, now)
         if standing == state.published:
-            return standing
+            return
         newly_avoided = standing.avoided and not state.published.avoided
         if newly_avoided and not standing.ejected:
             self._append(Act.AVOID, state, step="evaluate")
         state.published = standing
         if self._on_change is not None:
             self._on_change(state.upstream_id, standing)
-        return standing
 
     def _compute_standing(self, state: UpstreamState, now: float) -> Standing:
         # Compared with the clock at each decision: a process that was paused
--- a/src/hawthornmast/health/state.py
+++ b/src/hawthornmast/health/state.py
@@ -1,5 +1,7 @@
 """What one daemon holds about one upstream."""
 
+from collections.abc import Iterable
+
 import attrs
 
 from hawthornmast.health.holdoff import COLD_START_S
@@ -31,3 +33,34 @@
         """Tell whether slow responses are still expected."""
         start = max(self.listed, self.holdoff.ramp_from)
         return now - start < COLD_START_S
+
+    def describe(self, now: float) -> dict[str, object]:
+        """Return what the standing of the upstream rests on."""
+        return {
+            "score": round(self.score.level, 2),
+            "failed_in_run": self.score.run_failed,
+            "ok_in_run": self.score.run_ok,
+            "sick": self.sick,
+            "denied": self.denied,
+            "ejected_for_s": round(max(0.0, self.ejected_until - now), 3),
+            "hold_off_for_s": round(max(0.0, self.holdoff.until - now), 3),
+        }
+
+
+def compute_ramp_part(
+    states: Iterable[UpstreamState], budget: int, now: float
+) -> float:
+    """Return the part of each ramp's missing slots that may be missing.
+
+    Slow start takes no more capacity than ejections leave. After a restart
+    of all upstreams their ramps together would leave the service far below
+    its floor.
+    """
+    missing = 0.0
+    ejected = 0
+    for state in states:
+        if state.was_ejected:
+            ejected += 1
+        else:
+            missing += 1.0 - state.holdoff.get_weight(now)
+    return min(1.0, max(0, budget - ejected) / missing) if missing else 1.0
