--- a/src/hawthornmast/health/tests/schedules.py
+++ b/src/hawthornmast/health/tests/schedules.py
@@ -296,7 +296,6 @@
             for upstream_id, state in monitor._states.items():
                 state.sick = upstream_id in failed
                 state.sick_since = self.sim.now
-                monitor._watched.add(upstream_id)
                 state.score.level = scores.HIGH if state.sick else 0.0
                 # Short hold-offs let permits move between upstreams.
                 state.holdoff.strikes = 0
