--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -20,6 +20,7 @@
 
 from benchmarks import capacity_target as target
 from benchmarks import control
+from benchmarks import control_daemon
 from benchmarks.capacity_fleet import FleetCost
 from benchmarks.capacity_fleet import measure_fleet
 
@@ -165,13 +166,13 @@
     keys = _sweep(control.measure_store, "keys", (1720, 5000, 17200))
     daemons = (720, 2160, 7200)
     lists = _sweep(
-        control.measure_lists,
+        control_daemon.measure_lists,
         "daemons",
         daemons,
         services=500 if large else 30,
     )
     services = _sweep(
-        control.measure_lists,
+        control_daemon.measure_lists,
         "services",
         (500, 1500, 5000) if large else (30, 100, 300),
         daemons=target.DAEMONS if large else 720,
@@ -216,7 +217,7 @@
 def sum_up(
     owned: dict[str, dict[str, Slope]],
     rest: dict[str, dict[str, Slope]],
-    base: control.BaseCost,
+    base: control_daemon.BaseCost,
 ) -> list[Slope]:
     """Return the sums that the budgets of one daemon apply to."""
     changes = target.CHANGES_PER_S + target.LIST_CHANGES_PER_S
@@ -341,7 +342,7 @@
     options = parser.parse_args()
     began = time.monotonic()
     print(f"seed={options.seed}", flush=True)
-    base = run_apart(control.measure_base)
+    base = run_apart(control_daemon.measure_base)
     print(f"base {base}", flush=True)
     owned = measure_owned(options.seed)
     rest = measure_rest(large=not options.small_lists)
