--- a/src/hawthornmast/health/monitor.py
+++ b/src/hawthornmast/health/monitor.py
@@ -29,6 +29,7 @@
 from hawthornmast.health.standing import Evidence
 from hawthornmast.health.standing import Standing
 from hawthornmast.health.state import compute_ramp_part
+from hawthornmast.health.state import estimate_rate
 from hawthornmast.health.state import UpstreamState
 
 AVOID_S = 5.0
@@ -314,31 +315,12 @@
             state.avoid_until = now + AVOID_S
         if score.level < scores.LOW:
             return
-        rate = self._estimate_rate(state)
+        rate = estimate_rate(state, self._states, self.budget.permits.budget)
         sick = score.is_sick(now, rate, len(self.budget.owners.members))
         if sick and not state.sick:
             state.sick_since = now
         state.sick = sick
 
-    def _estimate_rate(self, state: UpstreamState) -> float:
-        # The worst others are left out, as many as may be ejected besides
-        # this one, so that several failing upstreams do not hide each other.
-        found: list[tuple[int, int]] = []
-        for upstream_id, (total, failures) in state.score.others.items():
-            other = self._states.get(upstream_id)
-            if other is not None:
-                found.append(
-                    (
-                        other.score.failures - failures,
-                        other.score.total - total,
-                    )
-                )
-        found.sort(reverse=True)
-        rest = found[max(0, self.budget.permits.budget - 1) :]
-        return scores.bound_rate(
-            sum(f for f, _ in rest), sum(t for _, t in rest)
-        )
-
     def _apply(self, now: float) -> None:
         """Bring ejections in line with permits, announcements and time."""
         before = {u for u, state in self._states.items() if state.was_ejected}
--- a/src/hawthornmast/health/state.py
+++ b/src/hawthornmast/health/state.py
@@ -1,9 +1,11 @@
 """What one daemon holds about one upstream."""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 import attrs
 
+from hawthornmast.health import scores
 from hawthornmast.health.holdoff import COLD_START_S
 from hawthornmast.health.holdoff import HoldOff
 from hawthornmast.health.scores import Score
@@ -64,3 +66,23 @@
         else:
             missing += 1.0 - state.holdoff.get_weight(now)
     return min(1.0, max(0, budget - ejected) / missing) if missing else 1.0
+
+
+def estimate_rate(
+    state: UpstreamState, states: Mapping[str, UpstreamState], budget: int
+) -> float:
+    """Return the failure rate of the other upstreams since a run began.
+
+    The worst others are left out, as many as may be ejected besides this
+    one, so that several failing upstreams do not hide each other.
+    """
+    found: list[tuple[int, int]] = []
+    for upstream_id, (total, failures) in state.score.others.items():
+        other = states.get(upstream_id)
+        if other is not None:
+            found.append(
+                (other.score.failures - failures, other.score.total - total)
+            )
+    found.sort(reverse=True)
+    rest = found[max(0, budget - 1) :]
+    return scores.bound_rate(sum(f for f, _ in rest), sum(t for _, t in rest))
--- a/src/hawthornmast/peers/network.py
+++ b/src/hawthornmast/peers/network.py
@@ -5,11 +5,9 @@
 import contextlib
 import itertools
 import logging
-import math
 import random
 from typing import Any
 
-import attrs
 from result import Result
 import trio
 import trio.lowlevel
@@ -21,23 +19,14 @@
 from hawthornmast.peers import messages
 from hawthornmast.peers.handling import Handler
 from hawthornmast.peers.handling import MessageHandlers
+from hawthornmast.peers.links import DISTANT_HEARTBEAT_S
+from hawthornmast.peers.links import HEARTBEAT_S
+from hawthornmast.peers.links import Link
+from hawthornmast.peers.links import SILENCE_S
 from hawthornmast.peers.session import Session
 
 _LOG = logging.getLogger("hawthornmast.peers")
 
-HEARTBEAT_S = 0.5
-SILENCE_S = 1.5
-"""Silence after which a close peer counts as unreachable."""
-
-DISTANT_HEARTBEAT_S = 2.0
-"""Interval to peers that only exchange configuration.
-
-A killed process closes its streams at once; only a pause or a partition is
-found by silence, and the exchange with other neighbours bridges it.
-"""
-
-_SILENT_BEATS = 3
-
 HANDSHAKE_S = 2.0
 QUEUE_MESSAGES = 512
 BATCH_MESSAGES = 64
@@ -51,20 +40,6 @@
 _INBOUND_PER_PEER = 2
 
 
-@attrs.define(kw_only=True, eq=False)
-class _Link:
-    """A live session with its queue of outgoing messages."""
-
-    session: Session
-    outbox: trio.MemorySendChannel[Any]
-    heard_at: float
-    dialed: bool
-    # Until the peer's first heartbeat its interval is unknown.
-    silence_s: float = _SILENT_BEATS * DISTANT_HEARTBEAT_S
-    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
-    ended: trio.Event = attrs.field(factory=trio.Event)
-
-
 class PeerNetwork:
     """Keeps authenticated streams to a set of neighbours.
 
@@ -96,7 +71,7 @@
         self._secrets = secrets
         self._codec = codec.MessageCodec(messages.Heartbeat)
         self._handlers = MessageHandlers()
-        self._links: dict[str, list[_Link]] = {}
+        self._links: dict[str, list[Link]] = {}
         self._neighbours: dict[str, Instance] = {}
         self._close: frozenset[str] | None = None
         self._dialers: dict[str, trio.CancelScope] = {}
@@ -224,14 +199,12 @@
             instance_id, message, timeout, post=self.post
         )
 
-    def _choose_link(self, instance_id: str) -> _Link | None:
+    def _choose_link(self, instance_id: str) -> Link | None:
         links = self._links.get(instance_id)
         if not links:
             return None
         link = max(links, key=lambda candidate: candidate.heard_at)
-        if trio.current_time() - link.heard_at > link.silence_s:
-            return None
-        return link
+        return None if link.is_silent else link
 
     async def _dial(self, peer: Instance, scope: trio.CancelScope) -> None:
         backoff = _BACKOFF_FIRST_S
@@ -317,7 +290,7 @@
 
     async def _serve(self, session: Session, *, dialed: bool) -> None:
         sender, receiver = trio.open_memory_channel[Any](QUEUE_MESSAGES)
-        link = _Link(
+        link = Link(
             session=session,
             outbox=sender,
             heard_at=trio.current_time(),
@@ -342,7 +315,7 @@
             link.ended.set()
             sender.close()
 
-    def _close_redundant(self, links: list[_Link]) -> None:
+    def _close_redundant(self, links: list[Link]) -> None:
         """Close the own one of two streams that both sides dialed at once.
 
         The side with the higher identifier does so, so that one remains.
@@ -360,7 +333,7 @@
                 if link.dialed:
                     link.scope.cancel()
 
-    def _remove_link(self, peer_id: str, link: _Link) -> None:
+    def _remove_link(self, peer_id: str, link: Link) -> None:
         self.bytes_sent += link.session.bytes_sent
         self.bytes_received += link.session.bytes_received
         link.session.bytes_sent = link.session.bytes_received = 0
@@ -375,7 +348,7 @@
             callback(peer_id, reachable)
 
     async def _send_all(
-        self, link: _Link, receiver: trio.MemoryReceiveChannel[Any]
+        self, link: Link, receiver: trio.MemoryReceiveChannel[Any]
     ) -> None:
         peer_id = link.session.peer_id
         told = 0.0
@@ -403,7 +376,7 @@
             return HEARTBEAT_S
         return DISTANT_HEARTBEAT_S
 
-    async def _watch_silence(self, link: _Link) -> None:
+    async def _watch_silence(self, link: Link) -> None:
         while True:
             quiet = trio.current_time() - link.heard_at
             if quiet > link.silence_s:
@@ -413,7 +386,7 @@
             # ``reachable`` applies it at once.
             await trio.sleep(link.silence_s - quiet + 0.01)
 
-    async def _receive_all(self, link: _Link) -> None:
+    async def _receive_all(self, link: Link) -> None:
         async with trio.open_nursery() as nursery:
             with contextlib.suppress(trio.EndOfChannel):
                 while True:
@@ -423,13 +396,10 @@
             link.scope.cancel()
 
     def _dispatch(
-        self, link: _Link, message: Any, nursery: trio.Nursery
+        self, link: Link, message: Any, nursery: trio.Nursery
     ) -> None:
         if isinstance(message, messages.Heartbeat):
-            interval = min(
-                max(message.interval_s, HEARTBEAT_S), DISTANT_HEARTBEAT_S
-            )
-            link.silence_s = _SILENT_BEATS * interval
+            link.note_heartbeat(message)
             return
 
         def reply(answer: messages.Answer) -> None:
@@ -456,13 +426,6 @@
         )
         return sent, received
 
-    def silence_of(self, instance_id: str) -> float:
-        """Return the seconds since a peer was heard; infinite if never."""
-        links = self._links.get(instance_id)
-        if not links:
-            return math.inf
-        return trio.current_time() - max(link.heard_at for link in links)
-
 
 def _unwrap(error: BaseException) -> BaseException:
     """Return the first exception inside nested groups."""
