Keep the highest revision instead of searching the index for it

It was computed over all keys with each accepted document, though revisions only rise. The metric takes it as it is, since the index has the accepted revision already.

--- a/src/hawthornmast/configuration/store.py
+++ b/src/hawthornmast/configuration/store.py
@@ -72,6 +72,8 @@
         self._documents: dict[str, tuple[int, bytes]] = {}
         self._refused: dict[str, list[tuple[int, bytes]]] = {}
         self._buckets = [0] * BUCKETS
+        # Kept, since it is read with each accepted document.
+        self._highest = 0
 
     def __len__(self) -> int:
         return len(self._index)
@@ -202,11 +204,12 @@
         total += _hash_entry(key, revision, digest)
         self._buckets[bucket] = total & _BUCKET_MASK
         self._index[key] = (revision, digest)
+        self._highest = max(self._highest, revision)
 
     @property
     def highest_revision(self) -> int:
-        """Highest revision in the index, or 0."""
-        return max((entry[0] for entry in self._index.values()), default=0)
+        """Highest revision that was ever in the index, or 0."""
+        return self._highest
 
     def count_keys(self, prefix: str) -> int:
         """Return the number of keys with a prefix that are not deleted."""
--- a/src/hawthornmast/daemon/member.py
+++ b/src/hawthornmast/daemon/member.py
@@ -326,7 +326,7 @@
             self.services.remove_document(key)
         else:
             self.services.apply_document(key, revision, text)
-        self.metrics.set_revision(max(revision, self.store.highest_revision))
+        self.metrics.set_revision(self.store.highest_revision)
 
     def _note_list(self, key: str) -> None:
         if is_daemons_key(key):
