Remove unused functions and share two blocks of the benchmarks

describe_backend, find_member, measure_neighbours and open_keys had no caller. Two measurements built their networks with the same lines. No change of what is measured.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -29,7 +29,6 @@
 from hawthornmast.health import MESSAGE_TYPES as HEALTH_MESSAGES
 from hawthornmast.limits import SlotDemand
 from hawthornmast.limits import SlotGrant
-from hawthornmast.membership import neighbours_of
 from hawthornmast.peers import Compressor
 from hawthornmast.peers import Expander
 from hawthornmast.peers import MessageCodec
@@ -204,6 +203,26 @@
                 runtime.tick()
 
 
+def _make_networks(count: int) -> tuple[list[Instance], list[PeerNetwork]]:
+    """Return daemons of one zone with their networks, not started."""
+    ports = choose_ports(count)
+    instances = [
+        Instance(
+            instance_id=f"d{number}",
+            zone="z0",
+            host=HOST,
+            port=1,
+            peer_port=port,
+        )
+        for number, port in enumerate(ports)
+    ]
+    networks = [
+        PeerNetwork(instance=item, incarnation=n, secrets=(SECRET,))
+        for n, item in enumerate(instances)
+    ]
+    return instances, networks
+
+
 @attrs.frozen(kw_only=True)
 class LinkCost:
     """Cost of one idle peer on one side, per second."""
@@ -224,21 +243,7 @@
     """
 
     async def run() -> LinkCost:
-        ports = choose_ports(peers + 1)
-        instances = [
-            Instance(
-                instance_id=f"d{number}",
-                zone="z0",
-                host=HOST,
-                port=1,
-                peer_port=port,
-            )
-            for number, port in enumerate(ports)
-        ]
-        networks = [
-            PeerNetwork(instance=item, incarnation=n, secrets=(SECRET,))
-            for n, item in enumerate(instances)
-        ]
+        instances, networks = _make_networks(peers + 1)
         near = [item.instance_id for item in instances if close]
         before = read_rss()
         async with trio.open_nursery() as nursery:
@@ -278,21 +283,7 @@
     """Measure announcements of one entry to a number of peers."""
 
     async def run() -> AnnounceCost:
-        ports = choose_ports(peers + 1)
-        instances = [
-            Instance(
-                instance_id=f"d{number}",
-                zone="z0",
-                host=HOST,
-                port=1,
-                peer_port=port,
-            )
-            for number, port in enumerate(ports)
-        ]
-        networks = [
-            PeerNetwork(instance=item, incarnation=n, secrets=(SECRET,))
-            for n, item in enumerate(instances)
-        ]
+        instances, networks = _make_networks(peers + 1)
         received = []
         for network in networks:
             network.register(Announce, lambda m, sender: received.append(m))
@@ -355,12 +346,3 @@
         assert store.digest
     repair = (time.process_time() - started) / rounds
     return StoreCost(rss=rss, change_cpu=change, repair_cpu=repair)
-
-
-def measure_neighbours(*, daemons: int, zones: int = 16) -> int:
-    """Return the peers that dial a daemon or are dialed by it."""
-    instances = make_instances(daemons, zones)
-    own = instances[0]
-    dialed = {d.instance_id for d in neighbours_of(own, instances)}
-    # Every daemon dials as many as it is dialed by, on the average.
-    return 2 * len(dialed)
--- a/benchmarks/latency.py
+++ b/benchmarks/latency.py
@@ -8,7 +8,6 @@
 """
 
 import argparse
-from collections.abc import Iterable
 import contextlib
 import itertools
 import json
@@ -21,12 +20,12 @@
 from typing import Any
 
 import attrs
-from hdrh.histogram import HdrHistogram
 import trio
 
 from benchmarks.generator import Command
 from benchmarks.generator import WARM_S
 from benchmarks.rows import check
+from benchmarks.rows import compute_quantile_ms
 from benchmarks.rows import is_missed
 from hawthornmast.http import fetch
 from tools.deployments import BRAMBLEWICK
@@ -332,35 +331,29 @@
         return list(rows.values())
 
 
-def _quantile_ms(micros: Iterable[int], quantile: float) -> float:
-    histogram = HdrHistogram(1, 60_000_000, 3)
-    for value in micros:
-        histogram.record_value(value)
-    return float(histogram.get_value_at_percentile(quantile)) / 1000
-
-
 def _describe_latency(
     kind: str,
     name: str,
     samples: dict[tuple[str, str], list[list[int]]],
     failed: int,
 ) -> dict[str, Any]:
+    rounds, direct = samples[kind, name], samples[kind, "direct"]
     row: dict[str, Any] = {
         "row": f"latency {kind} {name}",
-        "rounds": len(samples[kind, name]),
-        "requests": sum(map(len, samples[kind, name])),
+        "rounds": len(rounds),
+        "requests": sum(map(len, rounds)),
         "failed": failed,
     }
-    direct = samples[kind, "direct"]
     for label, quantile in (("median", 50.0), ("p99", 99.0)):
-        own = _quantile_ms(itertools.chain(*samples[kind, name]), quantile)
-        plain = _quantile_ms(itertools.chain(*direct), quantile)
+        own = compute_quantile_ms(itertools.chain(*rounds), quantile)
+        plain = compute_quantile_ms(itertools.chain(*direct), quantile)
         row[f"{label}_ms"] = own
         if name == "direct":
             continue
         by_round = [
-            _quantile_ms(through, quantile) - _quantile_ms(base, quantile)
-            for through, base in zip(samples[kind, name], direct, strict=True)
+            compute_quantile_ms(through, quantile)
+            - compute_quantile_ms(base, quantile)
+            for through, base in zip(rounds, direct, strict=True)
         ]
         row[f"added_{label}_ms"] = round(own - plain, 3)
         row[f"added_{label}_spread"] = [
--- a/benchmarks/rows.py
+++ b/benchmarks/rows.py
@@ -1,8 +1,11 @@
 """Rows of figures with the aims of the design page, section 1.2."""
 
+from collections.abc import Iterable
 import math
 from typing import Any
 
+from hdrh.histogram import HdrHistogram
+
 
 def check(
     measure: str,
@@ -41,3 +44,11 @@
 def is_missed(row: dict[str, Any]) -> bool:
     """Tell whether a row misses one of its aims."""
     return any(item["held"] is False for item in row["checks"])
+
+
+def compute_quantile_ms(micros: Iterable[int], quantile: float) -> float:
+    """Return a quantile, in percent, of times in microseconds."""
+    histogram = HdrHistogram(1, 60_000_000, 3)
+    for value in micros:
+        histogram.record_value(value)
+    return float(histogram.get_value_at_percentile(quantile)) / 1000
--- a/src/hawthornmast/configuration/fetcher.py
+++ b/src/hawthornmast/configuration/fetcher.py
@@ -85,11 +85,6 @@
         self._wake = trio.Event()
         self._nursery: trio.Nursery | None = None
 
-    @property
-    def open_keys(self) -> int:
-        """Number of keys with candidates that aren't settled."""
-        return len(self._candidates)
-
     def remember_source(self, key: str, source: str) -> None:
         """Note which peer announced an entry whose document isn't kept."""
         self._sources[key] = source
--- a/tools/demonstration.py
+++ b/tools/demonstration.py
@@ -16,7 +16,6 @@
 from standins.client import KEY_HEADER
 from tools.deployments import Deployment
 from tools.deployments import DEPLOYMENTS
-from tools.fleet import Backend
 from tools.fleet import Fleet
 from tools.judge import Findings
 from tools.judge import judge_calls
@@ -125,11 +124,6 @@
     raise LookupError(f"no daemon serves {service}")
 
 
-def describe_backend(backend: Backend) -> str:
-    """Return the name of an upstream in its zone."""
-    return f"{backend.upstream.upstream_id} in {backend.upstream.zone}"
-
-
 async def run() -> int:
     """Run the demonstration and return the exit status."""
     results: list[tuple[Fleet, Findings, float, list[str]]] = []
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -398,13 +398,6 @@
             return Err(done.unwrap_err())
         return Ok(done.unwrap().json())
 
-    def find_member(self, instance_id: str) -> Member:
-        """Return a daemon by its identifier."""
-        for member in self.members:
-            if member.instance.instance_id == instance_id:
-                return member
-        raise KeyError(instance_id)
-
     def kill(self, member: Member) -> None:
         """End a daemon at once."""
         assert member.process is not None
