--- a/src/hawthornmast/audit/__init__.py
+++ b/src/hawthornmast/audit/__init__.py
@@ -1,5 +1,7 @@
 """Audit trail of automatic acts and key=value log lines."""
 
+from hawthornmast.audit.bounded import BoundedHandler
+from hawthornmast.audit.bounded import open_bounded_log
 from hawthornmast.audit.logs import format_event
 from hawthornmast.audit.logs import log_event
 from hawthornmast.audit.trail import Act
@@ -9,7 +11,9 @@
 __all__ = [
     "Act",
     "AuditTrail",
+    "BoundedHandler",
     "Record",
     "format_event",
     "log_event",
+    "open_bounded_log",
 ]
--- a/src/hawthornmast/forwarding/connection.py
+++ b/src/hawthornmast/forwarding/connection.py
@@ -7,17 +7,16 @@
 import h11
 import trio
 
-from hawthornmast.forwarding import pages
-from hawthornmast.forwarding import relay
 from hawthornmast.forwarding import sockets
 from hawthornmast.forwarding.delivery import Deliver
-from hawthornmast.forwarding.forwarder import Forwarder
+from hawthornmast.forwarding.delivery import OpenScope
+from hawthornmast.forwarding.dialect import Dialect
 from hawthornmast.forwarding.headers import RawHeaders
-from hawthornmast.forwarding.inputs import BadInputError
 from hawthornmast.forwarding.inputs import check_lines
 from hawthornmast.forwarding.inputs import ClientLimits
 from hawthornmast.forwarding.inputs import parse_head
 from hawthornmast.forwarding.messages import Answer
+from hawthornmast.forwarding.messages import BadInputError
 from hawthornmast.forwarding.messages import ClientRequest
 from hawthornmast.forwarding.messages import refuse
 from hawthornmast.forwarding.messages import Trace
@@ -30,18 +29,43 @@
 _LINGER_BYTES = 1_048_576
 
 
+class RequestRunner(Protocol):
+    """Decides a request and runs it on upstreams."""
+
+    def check(self, request: ClientRequest) -> Answer | None:
+        """Return the refusal of a request that needs no body to decide."""
+
+    async def run(
+        self,
+        request: ClientRequest,
+        trace: Trace,
+        open_scope: OpenScope,
+        deliver: Deliver,
+    ) -> Answer:
+        """Run a request and return its answer."""
+
+
 class Host(Protocol):
     """What a connection needs of its server."""
 
     limits: ClientLimits
-    forwarder: Forwarder
-    mark: relay.RelayMark
+    dialect: Dialect
     closing: bool
     body_bytes: int
 
+    @property
+    def forwarder(self) -> RequestRunner:
+        """What runs the requests."""
+
     def new_request_id(self) -> str:
         """Return an identifier that is unique in the fleet."""
 
+    def identify(self, request: ClientRequest) -> None:
+        """Give a request its identifier."""
+
+    def is_page(self, request: ClientRequest) -> bool:
+        """Tell whether the server itself answers a request."""
+
     async def prepare(self, request: ClientRequest) -> None:
         """Learn of the request's service if this daemon doesn't know it."""
 
@@ -112,8 +136,10 @@
             if head is None:
                 return False
             self._step = "body"
-            request = parse_head(head, self._limits, self._client)
-            self._identify(request)
+            request = parse_head(
+                head, self._limits, self._client, self._host.dialect
+            )
+            self._host.identify(request)
             await self._host.prepare(request)
             # Without a body the same checks are made when it runs.
             refused = self._check_early(request) if request.framed else None
@@ -156,20 +182,8 @@
             self.limit = trio.current_time() + self._limits.header_s
         self._connection.receive_data(data)
 
-    def _identify(self, request: ClientRequest) -> None:
-        """Give the request its identifier, that of its relay if it has one."""
-        host = self._host
-        if request.mark is not None:
-            if host.mark.check(request.mark, request.method, request.target):
-                request.relayed = True
-                request.request_id = request.mark.partition(b".")[0].decode()
-                return
-            # An ordinary client sent it; the header is dropped.
-            host.count_bad_input("forged-relay")
-        request.request_id = host.new_request_id()
-
     def _check_early(self, request: ClientRequest) -> Answer | None:
-        if request.target.startswith(pages.ROOT):
+        if self._host.is_page(request):
             return None
         return self._host.forwarder.check(request)
 
@@ -212,7 +226,7 @@
         trace = self.trace = Trace()
         if refused is not None:
             answer = refused
-        elif request.target.startswith(pages.ROOT):
+        elif host.is_page(request):
             answer = host.answer_page(request)
         else:
             host.watch(self)
@@ -267,7 +281,7 @@
         data = write_response(
             connection,
             answer.status,
-            answer.head(request.request_id),
+            self._host.dialect.head(answer, request.request_id),
             body,
             length=length,
             close=self._host.closing or connection.their_state is not h11.DONE,
@@ -283,7 +297,7 @@
     def _make_deliver(self, request: ClientRequest) -> Deliver:
         async def deliver(answer: Answer, exchange: Exchange) -> bool:
             connection = self._connection
-            headers = answer.head(request.request_id)
+            headers = self._host.dialect.head(answer, request.request_id)
             if answer.length is not None:
                 headers.append((b"content-length", answer.length))
             self._add_close(headers)
@@ -319,7 +333,9 @@
             return
         request_id = request.request_id if request else ""
         answer = refuse(bad.status, bad.kind, detail=str(bad))
-        headers = answer.head(request_id or self._host.new_request_id())
+        headers = self._host.dialect.head(
+            answer, request_id or self._host.new_request_id()
+        )
         headers.append((b"content-length", b"%d" % len(answer.body)))
         headers.append((b"connection", b"close"))
         data = self._connection.send(
--- a/src/hawthornmast/forwarding/headers.py
+++ b/src/hawthornmast/forwarding/headers.py
@@ -29,7 +29,10 @@
 
 
 def filter_headers(
-    headers: Iterable[tuple[bytes, bytes]], *, relayed: bool = False
+    headers: Iterable[tuple[bytes, bytes]],
+    *,
+    relayed: bool = False,
+    own: frozenset[bytes] | None = None,
 ) -> RawHeaders:
     """Return the end-to-end headers with ``Via`` extended.
 
@@ -39,6 +42,9 @@
     ----------
     relayed
         Keep the addresses that another daemon sets on a response.
+    own
+        Names that the fleet sets itself and removes; by default all names
+        with the fleet's prefix.
     """
     named: frozenset[bytes] = frozenset()
     via = VIA
@@ -49,6 +55,9 @@
                 named |= {part.strip().lower() for part in value.split(b",")}
         elif name == b"via":
             via = value + b", " + via
+        elif own is not None:
+            if name not in own:
+                kept.append((name, value))
         elif not name.startswith(PREFIX) or (relayed and name in _FROM_OWNERS):
             kept.append((name, value))
     if named:
--- a/src/hawthornmast/forwarding/inputs.py
+++ b/src/hawthornmast/forwarding/inputs.py
@@ -5,8 +5,9 @@
 import trio
 
 from hawthornmast.catalogue import split_path
-from hawthornmast.forwarding import relay
+from hawthornmast.forwarding.dialect import Dialect
 from hawthornmast.forwarding.headers import RawHeaders
+from hawthornmast.forwarding.messages import BadInputError
 from hawthornmast.forwarding.messages import ClientRequest
 from hawthornmast.forwarding.writing import read_headers
 
@@ -44,58 +45,26 @@
     write_s: float = 10.0
 
 
-class BadInputError(Exception):
-    """Input that is refused; ``kind`` names it in the counters."""
-
-    def __init__(self, status: int, kind: str, detail: str = "") -> None:
-        super().__init__(detail)
-        self.status = status
-        self.kind = kind
-
-
 _SINGLE = frozenset(
     {
         b"content-length",
         b"transfer-encoding",
         b"host",
         b"upgrade",
-        b"hawthornmast-ticket",
-        b"hawthornmast-timeout-ms",
-        relay.HEADER,
     }
 )
 
 
-def _check_repeated(headers: RawHeaders) -> None:
+def _check_repeated(headers: RawHeaders, single: frozenset[bytes]) -> None:
     """Refuse headers that must not be repeated."""
     seen = set()
     for name, _ in headers:
-        if name in _SINGLE:
+        if name in single:
             if name in seen:
                 raise BadInputError(400, "repeated-header", name.decode())
             seen.add(name)
 
 
-def _parse_timeout(found: dict[bytes, bytes]) -> float | None:
-    value = found.get(b"hawthornmast-timeout-ms")
-    if value is None:
-        return None
-    if not value.isdigit() or len(value) > 7 or int(value) == 0:
-        raise BadInputError(
-            400, "bad-timeout", "allowed are 1 to 9999999 milliseconds"
-        )
-    return int(value) / 1000
-
-
-def _parse_ticket(found: dict[bytes, bytes]) -> str | None:
-    value = found.get(b"hawthornmast-ticket")
-    if value is None:
-        return None
-    if len(value) > 256 or not value.isascii():
-        raise BadInputError(400, "bad-ticket")
-    return value.decode("ascii")
-
-
 def check_lines(raw: bytes, limits: ClientLimits) -> None:
     """Refuse folded headers and bare line feeds, which h11 accepts.
 
@@ -113,7 +82,7 @@
 
 
 def parse_head(
-    head: h11.Request, limits: ClientLimits, client: str
+    head: h11.Request, limits: ClientLimits, client: str, dialect: Dialect
 ) -> ClientRequest:
     """Return a request without its body and its identifier."""
     method = head.method.decode("ascii")
@@ -123,7 +92,7 @@
         raise BadInputError(431, "too-many-headers")
     found = dict(headers)
     if len(found) < len(headers):
-        _check_repeated(headers)
+        _check_repeated(headers, _SINGLE | dialect.single)
     length = found.get(b"content-length")
     coding = found.get(b"transfer-encoding")
     if coding is not None:
@@ -144,10 +113,11 @@
     service = authority.partition(":")[0].lower()
     if not service:
         raise BadInputError(400, "no-host")
-    path = split_path(target)
-    if path.is_err():
-        raise BadInputError(400, "bad-target", path.unwrap_err())
-    return ClientRequest(
+    if dialect.strict_paths:
+        path = split_path(target)
+        if path.is_err():
+            raise BadInputError(400, "bad-target", path.unwrap_err())
+    request = ClientRequest(
         request_id="",
         method=method,
         target=target,
@@ -155,9 +125,8 @@
         headers=headers,
         framed=length is not None or coding is not None,
         old=head.http_version < b"1.1",
-        timeout_s=_parse_timeout(found),
-        ticket=_parse_ticket(found),
         client=client,
         arrived=trio.current_time(),
-        mark=found.get(relay.HEADER),
     )
+    dialect.read(request, found)
+    return request
--- a/src/hawthornmast/forwarding/messages.py
+++ b/src/hawthornmast/forwarding/messages.py
@@ -3,10 +3,18 @@
 import attrs
 
 from hawthornmast.common import Outcome
-from hawthornmast.forwarding.headers import outcome_headers
 from hawthornmast.forwarding.headers import RawHeaders
 
 
+class BadInputError(Exception):
+    """Input that is refused; ``kind`` names it in the counters."""
+
+    def __init__(self, status: int, kind: str, detail: str = "") -> None:
+        super().__init__(detail)
+        self.status = status
+        self.kind = kind
+
+
 @attrs.define(kw_only=True, eq=False)
 class ClientRequest:
     """A request with its whole body, as a client sent it.
@@ -24,7 +32,7 @@
     old
         The client speaks HTTP/1.0.
     timeout_s
-        Value of ``Hawthornmast-Timeout-Ms`` in seconds.
+        Seconds that the client waits; None when it didn't say.
     mark
         Value of ``Hawthornmast-Relayed``, not verified.
     relayed
@@ -59,6 +67,8 @@
         Without those of framing and without the outcome.
     length
         ``Content-Length`` to announce instead of the body's, for HEAD.
+    retry_after
+        Seconds after which the client may ask again.
     sent
         The answer was streamed already.
     cut
@@ -73,11 +83,7 @@
     length: bytes | None = None
     sent: bool = False
     cut: bool = False
-
-    def head(self, request_id: str) -> RawHeaders:
-        """Return the headers with the outcome."""
-        own = outcome_headers(self.outcome, request_id, reason=self.reason)
-        return [*self.headers, *own]
+    retry_after: float | None = None
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -86,6 +92,8 @@
 
     Parameters
     ----------
+    steps
+        Each attempt or refusal, with what came of it.
     left
         The client left before its answer was complete.
     streaming
@@ -97,6 +105,7 @@
     rank: str = ""
     revision: int = 0
     upstreams: list[str] = attrs.Factory(list)
+    steps: list[str] = attrs.Factory(list)
     queue_s: float = 0.0
     left: bool = False
     streaming: bool = False
@@ -113,10 +122,6 @@
 ) -> Answer:
     """Return an answer of the daemon itself."""
     pairs: RawHeaders = [(b"content-type", b"text/plain; charset=utf-8")]
-    if retry_after is not None:
-        # Whole seconds are all that the header can hold.
-        seconds = max(1, round(retry_after))
-        pairs.append((b"retry-after", str(seconds).encode()))
     pairs += headers or []
     text = f"{reason}: {detail}\n" if detail else f"{reason}\n"
     return Answer(
@@ -125,4 +130,5 @@
         reason=reason,
         headers=pairs,
         body=text.encode(errors="replace"),
+        retry_after=retry_after,
     )
--- a/src/hawthornmast/forwarding/server.py
+++ b/src/hawthornmast/forwarding/server.py
@@ -14,10 +14,14 @@
 from hawthornmast.forwarding import pages
 from hawthornmast.forwarding import relay
 from hawthornmast.forwarding.connection import ClientConnection
+from hawthornmast.forwarding.connection import RequestRunner
+from hawthornmast.forwarding.dialect import Dialect
+from hawthornmast.forwarding.dialect import OwnDialect
 from hawthornmast.forwarding.forwarder import Forwarder
 from hawthornmast.forwarding.inputs import ClientLimits
 from hawthornmast.forwarding.messages import Answer
 from hawthornmast.forwarding.messages import ClientRequest
+from hawthornmast.forwarding.messages import refuse
 from hawthornmast.forwarding.messages import Trace
 from hawthornmast.forwarding.runtime import RequestReport
 from hawthornmast.forwarding.runtime import ServiceDirectory
@@ -52,60 +56,44 @@
     del kind
 
 
-class ClientServer:
-    """Accepts clients and forwards their requests.
+class ConnectionServer:
+    """Accepts clients and serves their connections.
 
     Parameters
     ----------
-    directory
-        Services of this daemon and owners of the others.
-    tickets
-        Tickets of this incarnation.
+    forwarder
+        Runs the requests.
+    dialect
+        The interface that the clients speak.
     upstreams
         Connections to upstreams; closed with the server.
     host, port
         Address to listen on; port 0 chooses one.
     limits
         Limits on what clients may send.
-    peer_secrets
-        Shared secrets of the fleet; the first signs relayed requests.
-        Without any, nothing is relayed.
-    on_finished
-        Called with the report of each request that was read whole.
     on_bad_input
         Called with the kind of each input that was refused.
     """
 
     def __init__(
         self,
-        directory: ServiceDirectory,
-        tickets: TicketBook,
+        forwarder: RequestRunner,
+        dialect: Dialect,
         upstreams: UpstreamClient,
         *,
         host: str = "127.0.0.1",
         port: int = 0,
         limits: ClientLimits | None = None,
-        peer_secrets: Sequence[bytes] = (),
-        on_finished: Callable[[RequestReport], None] = _ignore_report,
         on_bad_input: Callable[[str], None] = _ignore_kind,
     ) -> None:
         self.limits = limits or ClientLimits()
-        self.mark = relay.RelayMark(peer_secrets)
-        self.forwarder = Forwarder(
-            directory,
-            upstreams,
-            tickets,
-            mark=self.mark,
-            buffer_bytes=self.limits.answer_buffer_bytes,
-        )
+        self.forwarder = forwarder
+        self.dialect = dialect
         self.closing = False
         self.body_bytes = 0
-        self._directory = directory
-        self._tickets = tickets
         self._upstreams = upstreams
         self._host = host
         self._port = port
-        self._on_finished = on_finished
         self._on_bad_input = on_bad_input
         self._connections: set[ClientConnection] = set()
         self._watched: dict[int, ClientConnection] = {}
@@ -269,6 +257,117 @@
         """Return an identifier that is unique in the fleet."""
         return f"{self._prefix}-{next(self._serial):x}"
 
+    def identify(self, request: ClientRequest) -> None:
+        """Give a request an identifier unless its client sent one."""
+        if not request.request_id:
+            request.request_id = self.new_request_id()
+
+    def is_page(self, request: ClientRequest) -> bool:
+        """Tell whether the server itself answers a request."""
+        del request
+        return False
+
+    async def prepare(self, request: ClientRequest) -> None:
+        """Learn what is needed to decide a request."""
+        del request
+
+    def answer_page(self, request: ClientRequest) -> Answer:
+        """Answer a request for a page of the server itself."""
+        return refuse(404, "no-page", detail=request.target)
+
+    def count_bad_input(self, kind: str) -> None:
+        """Count a refused input by its kind."""
+        self._on_bad_input(kind)
+
+    def report(
+        self, request: ClientRequest, trace: Trace, answer: Answer
+    ) -> None:
+        """Report a finished request."""
+        del request, trace, answer
+
+    def watch(self, connection: ClientConnection) -> None:
+        """Cancel the connection's request when its client leaves."""
+        self._watched[connection.sock.fileno()] = connection
+
+    def unwatch(self, connection: ClientConnection) -> None:
+        """Stop watching a connection."""
+        self._watched.pop(connection.sock.fileno(), None)
+
+
+class ClientServer(ConnectionServer):
+    """Serves the fleet's own interface, with its pages and tickets.
+
+    Parameters
+    ----------
+    directory
+        Services of this daemon and owners of the others.
+    tickets
+        Tickets of this incarnation.
+    upstreams
+        Connections to upstreams; closed with the server.
+    host, port
+        Address to listen on; port 0 chooses one.
+    limits
+        Limits on what clients may send.
+    peer_secrets
+        Shared secrets of the fleet; the first signs relayed requests.
+        Without any, nothing is relayed.
+    on_finished
+        Called with the report of each request that was read whole.
+    on_bad_input
+        Called with the kind of each input that was refused.
+    """
+
+    def __init__(
+        self,
+        directory: ServiceDirectory,
+        tickets: TicketBook,
+        upstreams: UpstreamClient,
+        *,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        limits: ClientLimits | None = None,
+        peer_secrets: Sequence[bytes] = (),
+        on_finished: Callable[[RequestReport], None] = _ignore_report,
+        on_bad_input: Callable[[str], None] = _ignore_kind,
+    ) -> None:
+        limits = limits or ClientLimits()
+        self.mark = relay.RelayMark(peer_secrets)
+        forwarder = Forwarder(
+            directory,
+            upstreams,
+            tickets,
+            mark=self.mark,
+            buffer_bytes=limits.answer_buffer_bytes,
+        )
+        super().__init__(
+            forwarder,
+            OwnDialect(),
+            upstreams,
+            host=host,
+            port=port,
+            limits=limits,
+            on_bad_input=on_bad_input,
+        )
+        self._directory = directory
+        self._tickets = tickets
+        self._on_finished = on_finished
+
+    def identify(self, request: ClientRequest) -> None:
+        """Give the request its identifier, that of its relay if it has one."""
+        if request.mark is not None:
+            if self.mark.check(request.mark, request.method, request.target):
+                request.relayed = True
+                request.request_id = request.mark.partition(b".")[0].decode()
+                return
+            # An ordinary client sent it; the header is dropped.
+            self.count_bad_input("forged-relay")
+        super().identify(request)
+
+    def is_page(self, request: ClientRequest) -> bool:
+        """Tell whether a request is for the fleet's own pages."""
+        return request.target.startswith(pages.ROOT)
+
     async def prepare(self, request: ClientRequest) -> None:
         """Learn of the request's service if this daemon doesn't know it."""
         name = request.service
@@ -287,10 +386,6 @@
             closing=self.closing,
         )
 
-    def count_bad_input(self, kind: str) -> None:
-        """Count a refused input by its kind."""
-        self._on_bad_input(kind)
-
     def report(
         self, request: ClientRequest, trace: Trace, answer: Answer
     ) -> None:
@@ -313,11 +408,3 @@
                 client=request.client,
             )
         )
-
-    def watch(self, connection: ClientConnection) -> None:
-        """Cancel the connection's request when its client leaves."""
-        self._watched[connection.sock.fileno()] = connection
-
-    def unwatch(self, connection: ClientConnection) -> None:
-        """Stop watching a connection."""
-        self._watched.pop(connection.sock.fileno(), None)
--- a/src/hawthornmast/forwarding/upstream.py
+++ b/src/hawthornmast/forwarding/upstream.py
@@ -2,6 +2,8 @@
 
 from collections import deque
 from collections.abc import Callable
+import math
+import re
 import socket
 
 import attrs
@@ -21,6 +23,13 @@
 _READ_BYTES = 65536
 _MAX_HEADER_BYTES = 32768
 _NO_BODY = frozenset({204, 304})
+_UNSENT_MS = 1500
+_TIMEOUT = re.compile(rb"\btimeout\s*=\s*(\d{1,6})\b", re.I)
+_IDLE_SHARE = 0.5
+"""Part of the announced idle time after which a connection isn't used.
+
+The rest covers the way of a request that crosses the upstream's close.
+"""
 
 
 @attrs.define
@@ -59,13 +68,21 @@
 class _Link:
     """One connection to an upstream."""
 
-    __slots__ = ("closed", "connection", "idle_since", "pool", "sock")
+    __slots__ = (
+        "closed",
+        "connection",
+        "idle_s",
+        "idle_since",
+        "pool",
+        "sock",
+    )
 
     def __init__(self, sock: socket.socket, pool: "_Pool") -> None:
         self.sock = sock
         self.closed = False
         self.pool = pool
         self.idle_since = 0.0
+        self.idle_s = math.inf
         self.connection = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEADER_BYTES
         )
@@ -77,6 +94,10 @@
             self.pool.open -= 1
             self.sock.close()
 
+    def is_expired(self, now: float) -> bool:
+        """Return whether the connection was idle for too long."""
+        return now - self.idle_since >= self.idle_s
+
     def is_quiet(self) -> bool:
         """Return whether the connection is open with nothing to read."""
         try:
@@ -174,11 +195,14 @@
     Parameters
     ----------
     idle_s
-        Seconds after which an idle connection is closed.
+        Seconds after which an idle connection is closed; sooner when its
+        upstream announced less.
     connect_s
         Seconds within which a connection must be established.
     max_idle
         Idle connections kept for each upstream.
+    ends_with_close
+        Accept responses without a length, which end with the connection.
     clock
         Monotonic time.
     """
@@ -189,11 +213,13 @@
         idle_s: float = 15.0,
         connect_s: float = 1.0,
         max_idle: int = 16,
+        ends_with_close: bool = False,
         clock: Callable[[], float] = trio.current_time,
     ) -> None:
         self._idle_s = idle_s
         self._connect_s = connect_s
         self._max_idle = max_idle
+        self._ends_with_close = ends_with_close
         self._clock = clock
         self._pools: dict[str, _Pool] = {}
         self._closed = False
@@ -211,6 +237,7 @@
         deadline: float,
         fresh: bool,
         buffer_bytes: int,
+        max_idle_s: float = math.inf,
     ) -> Result[Exchange, StepError]:
         """Send a request and read its response up to ``buffer_bytes``.
 
@@ -223,12 +250,14 @@
             Checked directly before the first byte is written.
         fresh
             Use a new connection.
+        max_idle_s
+            Use no connection that was idle for longer.
         """
         link: _Link | None = None
         done = False
         step = "connect"
         try:
-            link = await self._take(upstream, progress, fresh)
+            link = await self._take(upstream, progress, fresh, max_idle_s)
             if link is None:
                 detail = f"all {upstream.connections} connections are in use"
                 return Err(StepError(step=step, detail=detail))
@@ -284,13 +313,14 @@
             return
         connection.start_next_cycle()
         link.idle_since = self._clock()
+        link.idle_s = min(link.idle_s, self._idle_s)
         pool.idle.append(link)
 
     def close_idle(self) -> None:
         """Close connections that were idle for too long."""
-        oldest = self._clock() - self._idle_s
+        now = self._clock()
         for upstream_id, pool in list(self._pools.items()):
-            while pool.idle and pool.idle[0].idle_since <= oldest:
+            while pool.idle and pool.idle[0].is_expired(now):
                 pool.idle.popleft().close()
             if not pool.open:
                 del self._pools[upstream_id]
@@ -303,7 +333,11 @@
                 pool.idle.pop().close()
 
     async def _take(
-        self, upstream: Upstream, progress: Progress, fresh: bool
+        self,
+        upstream: Upstream,
+        progress: Progress,
+        fresh: bool,
+        max_idle_s: float,
     ) -> _Link | None:
         # Addresses are reused by other instances, so they are in the key.
         key = f"{upstream.upstream_id} {upstream.host}:{upstream.port}"
@@ -311,10 +345,13 @@
         if pool is None:
             pool = self._pools[key] = _Pool()
         if not fresh:
-            oldest = self._clock() - self._idle_s
+            now = self._clock()
             while pool.idle:
+                # The newest is tried; when it is too old, all are.
+                if now - pool.idle[-1].idle_since > max_idle_s:
+                    break
                 link = pool.idle.pop()
-                if link.idle_since > oldest and link.is_quiet():
+                if not link.is_expired(now) and link.is_quiet():
                     progress.reused = True
                     return link
                 link.close()
@@ -332,6 +369,10 @@
         connected = False
         try:
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            # Bytes that a silent connection never acknowledges fail soon.
+            raw.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNSENT_MS
+            )
             with trio.move_on_after(self._connect_s):
                 await sockets.connect(raw, upstream.host, upstream.port)
                 connected = True
@@ -361,12 +402,16 @@
             if not needed and type(event) is not h11.InformationalResponse:
                 raise h11.RemoteProtocolError("connection closed early")
         exchange = Exchange(self, link, event)
-        _check_framing(exchange, event, request.method)
+        _check_framing(exchange, event, request.method, self._ends_with_close)
+        _note_idle_time(link, exchange)
         return exchange
 
 
 def _check_framing(
-    exchange: Exchange, head: h11.Response, method: bytes
+    exchange: Exchange,
+    head: h11.Response,
+    method: bytes,
+    ends_with_close: bool,
 ) -> None:
     """Refuse a response whose end cannot be proved."""
     length = exchange.header(b"content-length")
@@ -380,7 +425,15 @@
         and length is None
         and method != b"HEAD"
         and exchange.status not in _NO_BODY
+        and not ends_with_close
     ):
         raise h11.RemoteProtocolError(
             "the body ends with the connection, so its end is not provable"
         )
+
+
+def _note_idle_time(link: _Link, exchange: Exchange) -> None:
+    """Remember how long the upstream keeps an idle connection."""
+    found = _TIMEOUT.search(exchange.header(b"keep-alive") or b"")
+    if found is not None:
+        link.idle_s = int(found[1]) * _IDLE_SHARE
--- /dev/null
+++ b/src/hawthornmast/gateway/member.py
@@ -0,0 +1,373 @@
+"""One member, assembled."""
+
+from collections.abc import Callable
+import logging
+import random
+import time
+from typing import Any
+
+import attrs
+import trio
+
+from hawthornmast import http
+from hawthornmast.audit import log_event
+from hawthornmast.common import Instance
+from hawthornmast.forwarding import ClientLimits
+from hawthornmast.forwarding import ConnectionServer
+from hawthornmast.forwarding import Dialect
+from hawthornmast.forwarding import UpstreamClient
+from hawthornmast.forwarding.messages import Answer
+from hawthornmast.forwarding.messages import ClientRequest
+from hawthornmast.forwarding.messages import Trace
+from hawthornmast.gateway.datagrams import Datagrams
+from hawthornmast.gateway.datagrams import Kind
+from hawthornmast.gateway.evidence import EvidenceExchange
+from hawthornmast.gateway.forwarder import RouteForwarder
+from hawthornmast.gateway.metrics import GatewayMetrics
+from hawthornmast.gateway.options import GatewayOptions
+from hawthornmast.gateway.services import ServiceState
+from hawthornmast.gateway.services import ServiceStates
+from hawthornmast.gateway.sources import decode_news
+from hawthornmast.gateway.sources import SNAPSHOT_PATH
+from hawthornmast.gateway.sources import Source
+from hawthornmast.gateway.sources import Sources
+from hawthornmast.gateway.upstreams import UpstreamDialect
+from hawthornmast.membership.gossip import Gossip
+from hawthornmast.membership.listing import UpstreamListing
+from hawthornmast.membership.placement import score
+from hawthornmast.routing import Configuration
+
+_LOG = logging.getLogger("hawthornmast.gateway")
+
+TICK_S = 0.05
+
+ACCEPT_SHARE = 0.5
+"""Part of the grace time after SIGTERM in which connections are accepted."""
+
+FINISH_SHARE = 0.92
+"""Part of the grace time after which requests in flight are given up."""
+
+MAX_BODY_BYTES = 16_777_216
+"""Longest body held, whatever the configuration allows: a member's memory
+holds several."""
+
+OWNERS_PER_ZONE = 1
+"""Members of a zone whose addresses clients are told. Few members see more
+of each upstream and order more requests by rank."""
+
+
+class GatewayServer(ConnectionServer):
+    """Serves clients of a member."""
+
+    def __init__(
+        self,
+        forwarder: RouteForwarder,
+        dialect: Dialect,
+        upstreams: UpstreamClient,
+        *,
+        host: str,
+        port: int,
+        limits: ClientLimits,
+        on_finished: Callable[[ClientRequest, Trace, Answer], None],
+        on_bad_input: Callable[[str], None],
+    ) -> None:
+        super().__init__(
+            forwarder,
+            dialect,
+            upstreams,
+            host=host,
+            port=port,
+            limits=limits,
+            on_bad_input=on_bad_input,
+        )
+        self._on_finished = on_finished
+
+    def report(
+        self, request: ClientRequest, trace: Trace, answer: Answer
+    ) -> None:
+        """Report a finished request."""
+        self._on_finished(request, trace, answer)
+
+
+class GatewayMember:
+    """A member of the fleet on a platform that is only read.
+
+    Parameters
+    ----------
+    options
+        Addresses and limits of this member.
+    source
+        The platform.
+    client_dialect, upstream_dialect
+        The interfaces of clients and of upstreams.
+    """
+
+    def __init__(
+        self,
+        options: GatewayOptions,
+        source: Source,
+        *,
+        client_dialect: Dialect,
+        upstream_dialect: UpstreamDialect,
+    ) -> None:
+        self.options = options
+        self.closing = False
+        self.started = trio.Event()
+        self.incarnation = time.time_ns()
+        self._random = random.Random(self.incarnation)
+        self.metrics = GatewayMetrics()
+        instance = options.instance
+        self.listing = UpstreamListing(clock=trio.current_time)
+        self.gossip = Gossip(
+            instance=instance,
+            incarnation=self.incarnation,
+            seeds=options.seeds,
+            clock=trio.current_time,
+            random_source=self._random,
+        )
+        self.sources = Sources(
+            source,
+            gossip=self.gossip,
+            listing=self.listing,
+            on_configuration=self._apply_configuration,
+            on_listing=self._apply_listing,
+            announce=self._announce,
+            random_source=self._random,
+        )
+        self.services = ServiceStates(self._make_service)
+        self.datagrams = Datagrams(
+            instance.host, instance.peer_port, handle=self._handle
+        )
+        self.evidence = EvidenceExchange(
+            self.services, send=self._send_evidence
+        )
+        upstreams = UpstreamClient(ends_with_close=True)
+        self.forwarder = RouteForwarder(
+            self,
+            self.services,
+            upstreams,
+            dialect=upstream_dialect,
+            evidence=self.evidence,
+        )
+        self.server = GatewayServer(
+            self.forwarder,
+            client_dialect,
+            upstreams,
+            host=instance.host,
+            port=instance.port,
+            limits=ClientLimits(connections=options.connections),
+            on_finished=self._report,
+            on_bad_input=self._report_bad_input,
+        )
+        self._nursery: trio.Nursery | None = None
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """The configuration in force."""
+        return self.sources.configuration
+
+    @property
+    def ready(self) -> bool:
+        """Whether clients should connect to this member."""
+        return (
+            not self.closing
+            and self.sources.configuration is not None
+            and self.listing.known
+        )
+
+    def owners(self, zone: str) -> list[Instance]:
+        """Return the members that clients of a zone are told, best first.
+
+        Parameters
+        ----------
+        zone
+            The clients' zone; its members come first.
+        """
+        zones: dict[str, list[Instance]] = {}
+        for item in self.gossip.live():
+            zones.setdefault(item.zone, []).append(item)
+        chosen: list[Instance] = []
+        for items in zones.values():
+            items.sort(key=lambda item: score("zone", item.instance_id))
+            chosen += items[:OWNERS_PER_ZONE]
+        chosen.sort(key=lambda item: (item.zone != zone, item.instance_id))
+        return chosen
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Open all ports and serve in the nursery."""
+        self._nursery = nursery
+        instance = self.options.instance
+        await self.datagrams.start(nursery)
+        listeners = await trio.open_tcp_listeners(
+            instance.peer_port, host=instance.host
+        )
+        nursery.start_soon(self._serve_peers, listeners)
+        await self.server.start(nursery)
+        nursery.start_soon(self.sources.run)
+        nursery.start_soon(self._tick)
+        self.started.set()
+        log_event(
+            _LOG,
+            "started",
+            instance=instance.instance_id,
+            zone=instance.zone,
+            incarnation=self.incarnation,
+            seeds=len(self.options.seeds),
+        )
+
+    async def drain(self) -> None:
+        """Leave without cutting a request, within the grace time."""
+        grace_s = self.options.bounds.grace_s
+        log_event(_LOG, "draining", grace_s=grace_s)
+        self.closing = True
+        self.gossip.ready = False
+        for beat in self.gossip.leave():
+            await self._send_beat(beat.host, beat.rows)
+        with trio.move_on_after(FINISH_SHARE * grace_s) as scope:
+            await self.server.finish(ACCEPT_SHARE * grace_s)
+        log_event(_LOG, "stopped", in_time=not scope.cancelled_caught)
+
+    def reload(self, options: GatewayOptions) -> None:
+        """Apply the seeds of new options; the rest needs a new process."""
+        self.gossip.seeds = options.seeds
+        log_event(_LOG, "reloaded", seeds=len(options.seeds))
+
+    async def _serve_peers(self, listeners: list[trio.SocketListener]) -> None:
+        await trio.serve_listeners(self._serve_peer, listeners)
+
+    async def _serve_peer(self, stream: trio.SocketStream) -> None:
+        await http.serve_connection(stream, self._answer_peer)
+
+    async def _answer_peer(self, request: http.Request) -> http.Response:
+        if request.path != SNAPSHOT_PATH:
+            return http.json_response({"error": "not found"}, status=404)
+        version = request.query.get("version", "0")
+        if not version.isdigit():
+            return http.json_response(
+                {"error": f"version is {version!r}, allowed: digits"},
+                status=400,
+            )
+        return http.Response(
+            status=200,
+            headers=(("Content-Type", "application/msgpack"),),
+            body=self.sources.encode_snapshot(int(version)),
+        )
+
+    async def _tick(self) -> None:
+        while True:
+            await trio.sleep(TICK_S)
+            self.gossip.ready = self.ready
+            for beat in self.gossip.next_beats():
+                await self._send_beat(beat.host, beat.rows)
+            self.evidence.tick()
+            for state in self.services:
+                if state.dispatcher.count_waiting():
+                    # Beliefs change with time alone.
+                    state.dispatcher.kick()
+
+    async def _send_beat(self, host: str, rows: list[Any]) -> None:
+        news = attrs.astuple(self.sources.news())
+        await self.datagrams.send(host, Kind.BEAT, [rows, list(news)])
+
+    async def _announce(self) -> None:
+        """Tell the zone and the other speakers what this member has."""
+        news = list(attrs.astuple(self.sources.news()))
+        told = self.gossip.mates()
+        if self.gossip.is_speaker():
+            told += self.gossip.speakers()
+        for mate in told:
+            await self.datagrams.send(mate.host, Kind.BEAT, [[], news])
+
+    def _handle(self, kind: Kind, content: Any, sender: str) -> None:
+        assert self._nursery is not None
+        if kind is Kind.EVIDENCE:
+            self.evidence.receive(content, sender)
+            return
+        rows, news = content
+        if rows:
+            for beat in self.gossip.receive(rows, sender):
+                self._nursery.start_soon(self._send_beat, beat.host, beat.rows)
+        peer = self.gossip.find(sender)
+        if peer is not None:
+            self.sources.receive(decode_news(news), peer, self._nursery)
+
+    def _send_evidence(self, rows: list[Any]) -> None:
+        assert self._nursery is not None
+        own = self.options.instance.instance_id
+        for owner in self.owners(self.options.instance.zone):
+            if owner.instance_id != own:
+                self._nursery.start_soon(
+                    self.datagrams.send, owner.host, Kind.EVIDENCE, rows
+                )
+
+    def _make_service(self, name: str) -> ServiceState:
+        return ServiceState(
+            name,
+            bounds=self.options.bounds,
+            zone=self.options.instance.zone,
+            random_source=self._random,
+        )
+
+    def _apply_configuration(
+        self, configuration: Configuration, origin: str
+    ) -> None:
+        log_event(
+            _LOG,
+            "configuration-in-force",
+            version=configuration.version,
+            routes=len(configuration.routes),
+            origin=origin,
+        )
+        self.services.apply_configuration(configuration)
+        self.forwarder.forget_splits()
+        limits = configuration.limits
+        self.server.limits = attrs.evolve(
+            self.server.limits,
+            header_bytes=limits.header_bytes,
+            body_bytes=min(limits.body_bytes, MAX_BODY_BYTES),
+            header_s=limits.header_s,
+            idle_s=limits.idle_s,
+        )
+
+    def _apply_listing(self, origin: str) -> None:
+        entries = self.listing.entries
+        log_event(
+            _LOG,
+            "upstreams-in-force",
+            revision=self.listing.revision,
+            listed=len(entries),
+            origin=origin,
+        )
+        self.services.apply_listing(entries)
+
+    def _report(
+        self, request: ClientRequest, trace: Trace, answer: Answer
+    ) -> None:
+        total_s = trio.current_time() - request.arrived
+        self.metrics.count_request(
+            trace.entry, answer.outcome, answer.status, total_s
+        )
+        log_event(
+            _LOG,
+            "request",
+            id=request.request_id,
+            route=trace.entry or "-",
+            service=trace.owner or "-",
+            rank=trace.rank or "-",
+            version=trace.revision,
+            status=answer.status,
+            outcome=answer.outcome.value,
+            reason=answer.reason or "-",
+            steps=",".join(trace.steps) or "-",
+            queue_ms=round(trace.queue_s * 1000),
+            total_ms=round(total_s * 1000),
+            listing=self.listing.revision,
+            listing_age_ms=round(
+                (trio.current_time() - self.listing.confirmed_at) * 1000
+            ),
+            left=trace.left,
+        )
+
+    def _report_bad_input(self, kind: str) -> None:
+        self.metrics.count_bad_input(kind)
+        log_event(_LOG, "bad-input", kind=kind)
--- /dev/null
+++ b/src/hawthornmast/gateway/services.py
@@ -0,0 +1,185 @@
+"""The services that a member forwards to."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import random
+
+import attrs
+import trio
+
+from hawthornmast.catalogue import Entry
+from hawthornmast.catalogue import Service
+from hawthornmast.common import Upstream
+from hawthornmast.gateway.options import Bounds
+from hawthornmast.limits import Dispatcher
+from hawthornmast.limits import SharedPool
+from hawthornmast.limits import WindowBudget
+from hawthornmast.membership.listing import ListedUpstream
+from hawthornmast.routing import Configuration
+from hawthornmast.routing import Route
+
+QUEUE_LIMIT = 2000
+"""Requests that may wait for a service in one member; their deadlines bound
+the queue before this number does."""
+
+SLACK_PARTS = 8
+"""Members among which the fixed part of a retry budget is divided: those
+that clients are told, and as many again that take over from them."""
+
+
+TRIAL_SHARE = 0.5
+"""Part of a retry budget that trial requests leave for other failures."""
+
+START_MARGIN = 1.0
+"""Mean service times that a request has left when it starts. Refused clients
+don't return, so that one which probably ends in time is worth its slot."""
+
+
+def make_entry(route: Route) -> Entry:
+    """Return the catalogue entry by which a route's work is ranked."""
+    return Entry(
+        name=route.name,
+        owner=route.host,
+        rank=route.rank,
+        path=route.prefix,
+        idempotent=route.idempotent,
+        share=1.0,
+        queue_limit=QUEUE_LIMIT,
+        deadline_ms=round(route.timeout_s * 1000),
+    )
+
+
+class ServiceState:
+    """Upstreams, queue and retry budget of one service.
+
+    Parameters
+    ----------
+    name
+        Name of the service.
+    bounds
+        Limits that the operators set.
+    zone
+        Zone of this daemon.
+    random_source
+        Source of jitter and of choices between equals.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        *,
+        bounds: Bounds,
+        zone: str,
+        random_source: random.Random,
+    ) -> None:
+        self.name = name
+        self.budget = WindowBudget(
+            ratio=bounds.retry_ratio,
+            slack=bounds.retry_slack / SLACK_PARTS,
+            window_s=bounds.retry_window_s,
+            clock=trio.current_time,
+        )
+        self.pool = SharedPool(
+            clock=trio.current_time,
+            random=random_source,
+            zone=zone,
+            may_try=lambda: self.budget.share() >= TRIAL_SHARE,
+        )
+        self.dispatcher = Dispatcher(
+            Service(name=name, owner="", queue_limit=QUEUE_LIMIT, entries=()),
+            self.pool,
+            clock=trio.current_time,
+            random=random_source,
+            margin=START_MARGIN,
+        )
+
+    def update(self, upstreams: list[Upstream]) -> None:
+        """Apply a new list of upstreams."""
+        self.pool.update(upstreams)
+        self.dispatcher.kick()
+
+    def update_entries(self, entries: tuple[Entry, ...], version: int) -> None:
+        """Apply the routes of a new configuration."""
+        self.dispatcher.update_service(
+            Service(
+                name=self.name,
+                owner="",
+                queue_limit=QUEUE_LIMIT,
+                entries=entries,
+                revision=version,
+            )
+        )
+
+
+class ServiceStates:
+    """All services of the configuration in force.
+
+    Parameters
+    ----------
+    make
+        Returns the state of a service that is new.
+    """
+
+    def __init__(self, make: Callable[[str], ServiceState]) -> None:
+        self._make = make
+        self._states: dict[str, ServiceState] = {}
+        self._entries: dict[str, Entry] = {}
+        self._listed: dict[str, ListedUpstream] = {}
+        self._configuration: Configuration | None = None
+
+    def __iter__(self) -> Iterator[ServiceState]:
+        return iter(self._states.values())
+
+    def find(self, name: str) -> ServiceState | None:
+        """Return the state of a service."""
+        return self._states.get(name)
+
+    def entry(self, route: Route) -> Entry:
+        """Return the entry of a route in force."""
+        entry = self._entries.get(route.name)
+        return entry if entry is not None else make_entry(route)
+
+    def apply_configuration(self, configuration: Configuration) -> None:
+        """Put a configuration in force."""
+        self._configuration = configuration
+        self._entries = {
+            route.name: make_entry(route) for route in configuration.routes
+        }
+        used: dict[str, list[Entry]] = {}
+        for route in configuration.routes:
+            for target in route.targets:
+                used.setdefault(target.service, []).append(
+                    self._entries[route.name]
+                )
+        for service in configuration.services:
+            used.setdefault(service.name, [])
+        for name, entries in used.items():
+            state = self._states.get(name)
+            if state is None:
+                state = self._states[name] = self._make(name)
+                self._refresh(state)
+            state.update_entries(tuple(entries), configuration.version)
+        for name in self._states.keys() - used.keys():
+            # Requests that wait are refused; those that run finish.
+            self._states.pop(name).dispatcher.close()
+        self.apply_listing(self._listed)
+
+    def apply_listing(self, listed: dict[str, ListedUpstream]) -> None:
+        """Put a list of upstreams in force."""
+        self._listed = listed
+        for state in self._states.values():
+            self._refresh(state)
+
+    def _refresh(self, state: ServiceState) -> None:
+        connections = 400
+        if self._configuration is not None:
+            options = self._configuration.find_service(state.name)
+            if options is not None:
+                connections = options.connections
+        state.update(
+            [
+                attrs.evolve(item.upstream, connections=connections)
+                for item in self._listed.values()
+                if item.service == state.name
+            ]
+        )
--- a/src/hawthornmast/limits/__init__.py
+++ b/src/hawthornmast/limits/__init__.py
@@ -10,6 +10,8 @@
 from hawthornmast.limits.messages import SlotDemand
 from hawthornmast.limits.messages import SlotGrant
 from hawthornmast.limits.pool import UpstreamPool
+from hawthornmast.limits.shared import SharedPool
+from hawthornmast.limits.window import WindowBudget
 
 __all__ = [
     "Admission",
@@ -17,9 +19,11 @@
     "Reason",
     "Refusal",
     "RetryBudget",
+    "SharedPool",
     "SlotAllocator",
     "SlotDemand",
     "SlotGrant",
     "UpstreamPool",
+    "WindowBudget",
     "divide_statically",
 ]
--- a/src/hawthornmast/limits/dispatcher.py
+++ b/src/hawthornmast/limits/dispatcher.py
@@ -1,9 +1,11 @@
 """Admission of requests by rank, limit and deadline."""
 
 from collections.abc import Callable
+from collections.abc import Container
 from collections.abc import Iterable
 import math
 import random as random_module
+from typing import Protocol
 
 import attrs
 from result import Err
@@ -18,7 +20,6 @@
 from hawthornmast.limits.admission import Admission
 from hawthornmast.limits.admission import Reason
 from hawthornmast.limits.admission import Refusal
-from hawthornmast.limits.pool import UpstreamPool
 
 _SMOOTHING = 0.1
 """Weight of the newest service time in its moving average."""
@@ -37,6 +38,34 @@
 """Stands for a share of 0 in ratios of use per share."""
 
 
+class Pool(Protocol):
+    """Upstream slots from which requests are granted."""
+
+    def take(
+        self, exclude: Container[str], *, repeatable: bool, patience: float
+    ) -> Upstream | None:
+        """Take a slot of the best upstream; None when there is none.
+
+        Parameters
+        ----------
+        exclude
+            Upstreams that must not be taken.
+        repeatable
+            The request may be sent again after a failure.
+        patience
+            Share of its time that the request has left, from 1 to 0.
+        """
+
+    def release(self, upstream_id: str) -> None:
+        """Give back a slot."""
+
+    def count_usable(self) -> int:
+        """Return the slots that may be in use now, free or not."""
+
+    def has_candidate(self, exclude: Container[str]) -> bool:
+        """Tell whether any upstream may serve, whatever its free slots."""
+
+
 @attrs.define(kw_only=True, eq=False)
 class Waiter:
     """One request in a queue.
@@ -52,6 +81,11 @@
     notify: Callable[[], None] | None = None
     outcome: Result[Admission, Refusal] | None = None
 
+    def patience(self, now: float) -> float:
+        """Return the share of the request's time that is left."""
+        allowed = self.deadline - self.arrived
+        return (self.deadline - now) / allowed if allowed > 0 else 0.0
+
 
 @attrs.define(kw_only=True, eq=False)
 class _Queue:
@@ -102,17 +136,21 @@
         Monotonic time in seconds, the clock of all deadlines.
     random
         Source of the jitter in ``retry_after``.
+    margin
+        Mean service times that must remain when a request starts.
     """
 
     def __init__(
         self,
         service: Service,
-        pool: UpstreamPool,
+        pool: Pool,
         *,
         clock: Callable[[], float],
         random: random_module.Random,
+        margin: float = _MARGIN,
     ) -> None:
         self._service = service
+        self._margin = margin
         self._pool = pool
         self._clock = clock
         self._random = random
@@ -180,7 +218,11 @@
             waiter.outcome = Err(refusal)
             return waiter
         if not self._waiting:
-            upstream = self._pool.take(waiter.exclude)
+            upstream = self._pool.take(
+                waiter.exclude,
+                repeatable=entry.idempotent,
+                patience=waiter.patience(now),
+            )
             if upstream is not None:
                 waiter.outcome = self._grant(queue, waiter, upstream, now)
                 return waiter
@@ -314,7 +356,7 @@
         time can't keep all requests from running and itself from falling.
         """
         half = (waiter.deadline - waiter.arrived) / 2
-        return min(_MARGIN * self._service_time, half)
+        return min(self._margin * self._service_time, half)
 
     def _estimate_wait(self, queue: _Queue, now: float) -> float:
         """Return the expected wait of a new request of the entry.
@@ -354,25 +396,34 @@
             self._dispatching = False
 
     def _grant_free(self) -> None:
-        failed: set[frozenset[str]] = set()
-        while self._waiting and frozenset() not in failed:
+        # Pools may offer more to requests that may be repeated, so what one
+        # kind can't get the other may.
+        failed: set[tuple[frozenset[str], bool]] = set()
+        now = self._clock()
+        while self._waiting and (frozenset(), True) not in failed:
             waiter = None
             upstream = None
             for queue in self._sort_queues():
+                repeatable = queue.entry.idempotent
+                if (frozenset(), repeatable) in failed:
+                    continue
                 for waiter in queue.waiting.values():
-                    if waiter.exclude in failed:
+                    if (waiter.exclude, repeatable) in failed:
                         continue
-                    upstream = self._pool.take(waiter.exclude)
+                    upstream = self._pool.take(
+                        waiter.exclude,
+                        repeatable=repeatable,
+                        patience=waiter.patience(now),
+                    )
                     if upstream is not None:
                         break
-                    failed.add(waiter.exclude)
+                    failed.add((waiter.exclude, repeatable))
                     if not waiter.exclude:
-                        return
+                        break
                 if upstream is not None:
                     break
             if waiter is None or upstream is None:
                 return
-            now = self._clock()
             if now >= waiter.deadline - self._count_margin(waiter):
                 self._pool.release(upstream.upstream_id)
                 self._settle(waiter, Err(self._refuse(Reason.DEADLINE)))
--- a/src/hawthornmast/limits/pool.py
+++ b/src/hawthornmast/limits/pool.py
@@ -104,8 +104,19 @@
         for key, member in self._members.items():
             member.allowed = self._allowed.get(key, 0)
 
-    def take(self, exclude: Container[str] = ()) -> Upstream | None:
-        """Take a slot of the least used upstream outside ``exclude``."""
+    def take(
+        self,
+        exclude: Container[str] = (),
+        *,
+        repeatable: bool = True,
+        patience: float = 1.0,
+    ) -> Upstream | None:
+        """Take a slot of the least used upstream outside ``exclude``.
+
+        All requests are offered the same upstreams, whether or not they may
+        be repeated and however long they waited.
+        """
+        del repeatable, patience
         if self._check is not None:
             self._check()
         # Compared field by field: this loop runs for each request, and
--- /dev/null
+++ b/src/hawthornmast/limits/tests/test_window.py
@@ -0,0 +1,70 @@
+"""The retry budget that members keep together."""
+
+import pytest
+
+from hawthornmast.limits import WindowBudget
+
+
+class Clock:
+    """A clock that tests move."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+@pytest.fixture
+def clock() -> Clock:
+    """Return a clock at 100 s."""
+    return Clock()
+
+
+class TestWindowBudget:
+    """No window holds more retries than its requests and slack allow."""
+
+    def make(self, clock: Clock, *, slack: float = 2.0) -> WindowBudget:
+        return WindowBudget(ratio=0.2, slack=slack, window_s=10.0, clock=clock)
+
+    def test_slack_alone(self, clock: Clock) -> None:
+        budget = self.make(clock)
+        assert [budget.take() for _ in range(3)] == [True, True, False]
+
+    def test_requests_add_their_ratio(self, clock: Clock) -> None:
+        budget = self.make(clock, slack=0.0)
+        for _ in range(100):
+            budget.count_request()
+        taken = sum(budget.take() for _ in range(100))
+        assert 10 <= taken <= 20
+
+    def test_any_window_keeps_the_bound(self, clock: Clock) -> None:
+        budget = self.make(clock)
+        requests: list[float] = []
+        retries: list[float] = []
+        for step in range(2000):
+            clock.now += 0.05
+            # Requests come in bursts; retries are always wanted.
+            if step // 100 % 2 == 0:
+                budget.count_request()
+                requests.append(clock.now)
+            if budget.take():
+                retries.append(clock.now)
+        for end in retries:
+            spent = sum(end - 10.0 < at <= end for at in retries)
+            counted = sum(end - 20.0 < at <= end for at in requests)
+            assert spent <= 0.2 * counted + 2.0
+
+    def test_share_of_an_empty_budget(self, clock: Clock) -> None:
+        assert self.make(clock, slack=0.0).share() == 0.0
+
+    @pytest.mark.parametrize(
+        "changes",
+        [{"ratio": -0.1}, {"slack": -1.0}, {"window_s": 0.0}],
+    )
+    def test_refuses_impossible_limits(
+        self, clock: Clock, changes: dict[str, float]
+    ) -> None:
+        values = {"ratio": 0.2, "slack": 1.0, "window_s": 10.0, **changes}
+        with pytest.raises(ValueError, match="must be"):
+            WindowBudget(clock=clock, **values)
--- /dev/null
+++ b/src/hawthornmast/membership/tests/test_gossip.py
@@ -0,0 +1,189 @@
+"""Membership from seeds, on a simulated network."""
+
+from collections.abc import Iterator
+import random
+
+import pytest
+
+from hawthornmast.common import Instance
+from hawthornmast.membership.gossip import Gossip
+
+
+class Network:
+    """Daemons that exchange beats without loss, unless cut."""
+
+    def __init__(self, *, zones: int, per_zone: int, seeds: int = 2) -> None:
+        self.now = 100.0
+        self.cut: set[str] = set()
+        self.daemons: dict[str, Gossip] = {}
+        self._incarnation = 0
+        hosts = [
+            (f"10.{zone}.0.{number}", f"zone-{zone}")
+            for zone in range(zones)
+            for number in range(per_zone)
+        ]
+        self.seeds = [host for host, _ in hosts[:seeds]]
+        for host, zone in hosts:
+            self.start(host, zone)
+
+    def start(self, host: str, zone: str) -> Gossip:
+        """Start a daemon, or start it again."""
+        self._incarnation += 1
+        gossip = Gossip(
+            instance=Instance(
+                instance_id=f"d-{host}",
+                zone=zone,
+                host=host,
+                port=1,
+                peer_port=2,
+            ),
+            incarnation=self._incarnation,
+            seeds=self.seeds,
+            clock=lambda: self.now,
+            random_source=random.Random(self._incarnation),
+        )
+        gossip.ready = True
+        self.daemons[host] = gossip
+        return gossip
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(round(seconds / 0.05)):
+            self.now += 0.05
+            for host, gossip in list(self.daemons.items()):
+                for beat in gossip.next_beats():
+                    self.deliver(host, beat.host, beat.rows)
+
+    def deliver(self, sender: str, host: str, rows: list[object]) -> None:
+        """Deliver a beat and the beats that answer it."""
+        target = self.daemons.get(host)
+        if target is None or sender in self.cut or host in self.cut:
+            return
+        for answer in target.receive(rows, sender):
+            self.deliver(host, answer.host, answer.rows)
+
+    def views(self) -> Iterator[set[str]]:
+        """Return who lives in the view of each daemon."""
+        for host, gossip in self.daemons.items():
+            if host not in self.cut:
+                yield {item.host for item in gossip.live()}
+
+
+class TestGossip:
+    """All daemons find each other, lose dead ones and find them again."""
+
+    def test_all_find_each_other(self) -> None:
+        network = Network(zones=3, per_zone=5)
+        network.run(3.0)
+        everyone = set(network.daemons)
+        assert all(view == everyone for view in network.views())
+
+    def test_all_agree_on_the_order_of_duties(self) -> None:
+        network = Network(zones=3, per_zone=4)
+        network.run(3.0)
+        ranks = sorted(item.rank() for item in network.daemons.values())
+        assert ranks[:3] == [0, 1, 2]
+        assert sum(item.is_speaker() for item in network.daemons.values()) == 3
+
+    @pytest.mark.parametrize("speaker", [True, False])
+    def test_lost_daemon_is_noticed_by_all(self, speaker: bool) -> None:
+        network = Network(zones=3, per_zone=4)
+        network.run(3.0)
+        lost = next(
+            host
+            for host, gossip in network.daemons.items()
+            if gossip.is_speaker() is speaker
+        )
+        del network.daemons[lost]
+        network.run(5.0)
+        assert all(lost not in view for view in network.views())
+
+    def test_zone_notices_a_lost_speaker_within_two_seconds(self) -> None:
+        # Clients are told the speaker's address until then.
+        network = Network(zones=2, per_zone=4)
+        network.run(3.0)
+        lost = next(h for h, g in network.daemons.items() if g.is_speaker())
+        zone = network.daemons.pop(lost).instance.zone
+        network.run(2.0)
+        for gossip in network.daemons.values():
+            if gossip.instance.zone == zone:
+                assert lost not in {item.host for item in gossip.live()}
+
+    def test_restarted_daemon_is_known_again(self) -> None:
+        network = Network(zones=2, per_zone=3)
+        network.run(3.0)
+        host = next(reversed(network.daemons))
+        zone = network.daemons[host].instance.zone
+        del network.daemons[host]
+        network.run(6.0)
+        network.start(host, zone)
+        network.run(2.5)
+        everyone = set(network.daemons)
+        assert all(view == everyone for view in network.views())
+
+    def test_finds_the_others_again_after_a_cut(self) -> None:
+        network = Network(zones=3, per_zone=3)
+        network.run(3.0)
+        host = next(iter(network.daemons))
+        network.cut.add(host)
+        network.run(8.0)
+        network.cut.clear()
+        network.run(4.0)
+        everyone = set(network.daemons)
+        assert all(view == everyone for view in network.views())
+
+    def test_starts_again_as_a_whole(self) -> None:
+        network = Network(zones=2, per_zone=3)
+        network.run(3.0)
+        for host, gossip in list(network.daemons.items()):
+            network.start(host, gossip.instance.zone)
+        network.run(3.0)
+        everyone = set(network.daemons)
+        assert all(view == everyone for view in network.views())
+
+    def test_leaving_daemon_is_dropped_at_once(self) -> None:
+        network = Network(zones=2, per_zone=3)
+        network.run(3.0)
+        host, gossip = next(iter(network.daemons.items()))
+        for beat in gossip.leave():
+            network.deliver(host, beat.host, beat.rows)
+        others = [g for h, g in network.daemons.items() if h != host]
+        for other in others:
+            assert host not in {item.host for item in other.live()}
+
+    def test_report_of_another_does_not_revive_a_leaving_daemon(self) -> None:
+        network = Network(zones=1, per_zone=3)
+        network.run(3.0)
+        host, gossip = next(iter(network.daemons.items()))
+        for beat in gossip.leave():
+            network.deliver(host, beat.host, beat.rows)
+        network.run(0.5)
+        others = [g for h, g in network.daemons.items() if h != host]
+        for other in others:
+            assert host not in {item.host for item in other.live()}
+
+    def test_an_earlier_incarnation_is_ignored(self) -> None:
+        network = Network(zones=1, per_zone=2)
+        network.run(2.0)
+        first, second = network.daemons.values()
+        row = second.next_beats() and second._own_row()
+        stale = [*second._own_row()]
+        stale[7] = 0
+        stale[5] = True
+        first.receive([stale], second.instance.host)
+        assert row is not None
+        assert second.instance.host in {i.host for i in first.live()}
+
+    def test_alone_without_seeds_that_answer(self) -> None:
+        network = Network(zones=1, per_zone=1)
+        network.run(3.0)
+        (only,) = network.daemons.values()
+        assert only.rank() == 0
+        assert [item.host for item in only.live()] == [only.instance.host]
+
+    @pytest.mark.parametrize("rows", [[[1]], [None], [["a"] * 9]])
+    def test_refuses_malformed_rows(self, rows: list[object]) -> None:
+        network = Network(zones=1, per_zone=1)
+        (only,) = network.daemons.values()
+        with pytest.raises((ValueError, TypeError, IndexError)):
+            only.receive(rows, "10.9.9.9")
--- /dev/null
+++ b/src/hawthornmast/platform/headers.py
@@ -0,0 +1,71 @@
+"""Headers of clients' requests, of upstreams' answers and back."""
+
+from hawthornmast.common import Upstream
+from hawthornmast.forwarding.dialect import parse_milliseconds
+from hawthornmast.forwarding.headers import filter_headers
+from hawthornmast.forwarding.headers import RawHeaders
+from hawthornmast.forwarding.messages import Answer
+from hawthornmast.forwarding.messages import ClientRequest
+from hawthornmast.forwarding.upstream import Exchange
+from hawthornmast.gateway.upstreams import Verdict
+from hawthornmast.platform import names
+
+_SET_BY_FLEET = frozenset({names.DEADLINE, names.EXPECTED_INSTANCE})
+_MISDIRECTED = 421
+
+
+class ClientHeaders:
+    """What clients send and are told."""
+
+    single = frozenset({names.ATTEMPT_ID, names.DEADLINE})
+    strict_paths = False
+
+    def read(self, request: ClientRequest, found: dict[bytes, bytes]) -> None:
+        """Read the attempt's identifier and the time that is left."""
+        request.timeout_s = parse_milliseconds(found.get(names.DEADLINE))
+        request.request_id = found.get(names.ATTEMPT_ID, b"").decode("latin-1")
+
+    def head(self, answer: Answer, request_id: str) -> RawHeaders:
+        """Return an answer's headers; refusals name the attempt."""
+        pairs = list(answer.headers)
+        if answer.retry_after is not None:
+            # The platform's clients read fractions of seconds.
+            pairs.append((b"retry-after", b"%.3f" % answer.retry_after))
+        if all(name != names.ATTEMPT_ID for name, _ in pairs) and request_id:
+            pairs.append((names.ATTEMPT_ID, request_id.encode("latin-1")))
+        return pairs
+
+
+class UpstreamHeaders:
+    """What upstreams are told and answer."""
+
+    def build_headers(
+        self, request: ClientRequest, upstream: Upstream, left_s: float
+    ) -> RawHeaders:
+        """Return a request's headers for one upstream."""
+        return [
+            (b"host", request.service.encode()),
+            *filter_headers(request.headers, own=_SET_BY_FLEET),
+            (names.DEADLINE, b"%d" % max(1, int(left_s * 1000))),
+            (names.EXPECTED_INSTANCE, upstream.upstream_id.encode()),
+        ]
+
+    def filter_answer(self, exchange: Exchange) -> RawHeaders:
+        """Return an answer's headers without those of one connection."""
+        return filter_headers(exchange.headers, own=frozenset())
+
+    def judge(self, exchange: Exchange, request: ClientRequest) -> Verdict:
+        """Return what an answer says of the request.
+
+        An answer without the upstream's signature was not made by its work,
+        and one with a coding that nobody asked for is altered.
+        """
+        named = exchange.header(names.ATTEMPT_ID)
+        moved = exchange.status == _MISDIRECTED
+        return Verdict(
+            own=named is None or named == request.request_id.encode("latin-1"),
+            whole=exchange.header(names.SIGNATURE) is not None
+            and exchange.header(b"content-encoding") is None,
+            not_run=moved or exchange.header(names.NOT_EXECUTED) is not None,
+            moved=moved,
+        )
--- /dev/null
+++ b/src/hawthornmast/platform/process.py
@@ -0,0 +1,119 @@
+"""One process on the platform: start, reload and end."""
+
+from collections.abc import Mapping
+import logging
+import signal
+import sys
+
+from result import Err
+import trio
+
+from hawthornmast import http
+from hawthornmast.audit import log_event
+from hawthornmast.audit import open_bounded_log
+from hawthornmast.gateway import GatewayMember
+from hawthornmast.platform import settings as settings_module
+from hawthornmast.platform.headers import ClientHeaders
+from hawthornmast.platform.headers import UpstreamHeaders
+from hawthornmast.platform.pages import Pages
+from hawthornmast.platform.settings import PlatformSettings
+from hawthornmast.platform.store import PlatformStore
+
+_LOG = logging.getLogger("hawthornmast.platform")
+
+METRICS_PORT = 9464
+"""Port of the metrics page, as the deploy file names it."""
+
+
+def run_process(environment: Mapping[str, str]) -> int:
+    """Run a member until SIGTERM; return the exit status."""
+    log = open_bounded_log(sys.stdout.fileno())
+    path = environment.get(
+        settings_module.PATH_VARIABLE, settings_module.DEFAULT_PATH
+    )
+    loaded = settings_module.load_settings(path)
+    if isinstance(loaded, Err):
+        error = loaded.err_value
+        log_event(
+            _LOG,
+            "start-failed",
+            level=logging.ERROR,
+            step=error.step,
+            detail=error.detail,
+            peer=error.peer,
+        )
+        log.close()
+        return 2
+    status = 0
+    try:
+        trio.run(_run, loaded.ok_value, path)
+    except* OSError as group:
+        log_event(
+            _LOG,
+            "start-failed",
+            level=logging.ERROR,
+            step="open-ports",
+            detail=group.exceptions[0],
+        )
+        status = 1
+    finally:
+        log.close()
+    return status
+
+
+async def _run(settings: PlatformSettings, path: str) -> None:
+    store = PlatformStore(*settings.store)
+    member = GatewayMember(
+        settings.options,
+        store,
+        client_dialect=ClientHeaders(),
+        upstream_dialect=UpstreamHeaders(),
+    )
+    pages = Pages(member)
+    async with trio.open_nursery() as nursery:
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGHUP
+        ) as signals:
+            await member.start(nursery)
+            await _open_page(nursery, settings.ready, pages.answer_ready)
+            if settings.directory is not None:
+                await _open_page(
+                    nursery, settings.directory, pages.answer_directory
+                )
+            metrics = (settings.options.instance.host, METRICS_PORT)
+            await _open_page(nursery, metrics, pages.answer_metrics)
+            async for number in signals:
+                if number == signal.SIGTERM:
+                    break
+                _reload(member, path)
+            await member.drain()
+        nursery.cancel_scope.cancel()
+
+
+async def _open_page(
+    nursery: trio.Nursery, address: tuple[str, int], handler: http.Handler
+) -> None:
+    host, port = address
+    listeners = await trio.open_tcp_listeners(port, host=host)
+
+    async def serve(stream: trio.SocketStream) -> None:
+        await http.serve_connection(stream, handler)
+
+    nursery.start_soon(trio.serve_listeners, serve, listeners)
+
+
+def _reload(member: GatewayMember, path: str) -> None:
+    """Apply the settings that may change while the process runs."""
+    loaded = settings_module.load_settings(path)
+    if isinstance(loaded, Err):
+        error = loaded.err_value
+        log_event(
+            _LOG,
+            "reload-refused",
+            level=logging.WARNING,
+            step=error.step,
+            detail=error.detail,
+            peer=error.peer,
+        )
+        return
+    member.reload(loaded.ok_value.options)
--- /dev/null
+++ b/src/hawthornmast/platform/store.py
@@ -0,0 +1,153 @@
+"""The platform's store, read as a source of the product."""
+
+import logging
+from typing import Any
+import urllib.parse
+
+from result import Err
+from result import Ok
+from result import Result
+import trio
+
+from hawthornmast import http
+from hawthornmast.audit import log_event
+from hawthornmast.common import StepError
+from hawthornmast.membership.listing import ListedUpstream
+from hawthornmast.membership.listing import Reading
+from hawthornmast.platform import names
+from hawthornmast.platform import values
+from hawthornmast.routing import Configuration
+
+_LOG = logging.getLogger("hawthornmast.platform.store")
+
+MAX_PAGES = 200
+
+_MALFORMED = (ValueError, KeyError, TypeError, AttributeError)
+
+
+class PlatformStore:
+    """Reads the store over one connection.
+
+    Parameters
+    ----------
+    host, port
+        Address of the store.
+    """
+
+    def __init__(self, host: str, port: int) -> None:
+        self._client = http.Client(host, port)
+        # The client serves one call at a time.
+        self._turn = trio.Lock()
+        self._refused: dict[str, int] = {}
+
+    async def read_listing(
+        self, *, timeout_s: float
+    ) -> Result[Reading, StepError]:
+        """Return all upstreams that the store lists."""
+        entries: list[ListedUpstream] = []
+        revision = 0
+        query = {"PathPrefix": names.UPSTREAMS_PREFIX}
+        for _ in range(MAX_PAGES):
+            done = await self._call(names.STORE_RANGE, query, timeout_s)
+            if isinstance(done, Err):
+                return done
+            try:
+                items = done.ok_value["items"]
+                # Pages are no snapshot; the first page's revision is the
+                # one that all of them have reached.
+                revision = revision or int(done.ok_value["StoreRevision"])
+                for item in items:
+                    self._add_entry(entries, item)
+                if not done.ok_value.get("Truncated") or not items:
+                    return Ok(
+                        Reading(revision=revision, entries=tuple(entries))
+                    )
+                query["after"] = items[-1]["Key"]
+            except _MALFORMED as error:
+                return self._malformed(names.STORE_RANGE, error)
+        detail = f"more than {MAX_PAGES} pages"
+        return Err(StepError(step="read-listing", detail=detail))
+
+    async def read_configuration(
+        self, *, timeout_s: float
+    ) -> Result[Configuration | None, StepError]:
+        """Return the newest configuration; None when there is none yet."""
+        query = {"Key": names.CONFIGURATION_KEY}
+        done = await self._call(
+            names.STORE_ITEM, query, timeout_s, absent_is_none=True
+        )
+        if isinstance(done, Err) or done.ok_value is None:
+            return done
+        try:
+            value = values.decode_value(done.ok_value)
+            return Ok(values.decode_configuration(value))
+        except _MALFORMED as error:
+            return self._malformed(names.STORE_ITEM, error)
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._client.close()
+
+    async def _call(
+        self,
+        path: str,
+        query: dict[str, Any],
+        timeout_s: float,
+        *,
+        absent_is_none: bool = False,
+    ) -> Result[Any, StepError]:
+        target = f"{path}?{urllib.parse.urlencode(query, safe='/')}"
+        async with self._turn:
+            done = await self._client.request("GET", target, timeout=timeout_s)
+        if isinstance(done, Err):
+            return done
+        response = done.ok_value
+        if response.status == 404 and absent_is_none:
+            return Ok(None)
+        if response.status != 200:
+            return Err(
+                StepError(
+                    step=path.rpartition("/")[2],
+                    detail=f"status {response.status}",
+                    peer=self._client.peer,
+                )
+            )
+        try:
+            return Ok(response.json())
+        except ValueError as error:
+            return self._malformed(path, error)
+
+    def _malformed(self, path: str, error: Exception) -> Err[StepError]:
+        detail = f"malformed answer: {type(error).__name__}: {error}"
+        return Err(
+            StepError(
+                step=path.rpartition("/")[2],
+                detail=detail,
+                peer=self._client.peer,
+            )
+        )
+
+    def _add_entry(
+        self, entries: list[ListedUpstream], item: dict[str, Any]
+    ) -> None:
+        """Add a listed upstream; log each refused revision of an entry once.
+
+        Other programs may write under the same prefix.
+        """
+        key = str(item["Key"]).removeprefix(names.UPSTREAMS_PREFIX)
+        try:
+            entries.append(values.decode_upstream(key, item))
+        except _MALFORMED as error:
+            revision = int(item.get("Revision", 0))
+            if self._refused.get(key) != revision:
+                if len(self._refused) > 1000:
+                    self._refused.clear()
+                self._refused[key] = revision
+                log_event(
+                    _LOG,
+                    "upstream-entry-refused",
+                    level=logging.WARNING,
+                    upstream=key,
+                    revision=revision,
+                    detail=f"{type(error).__name__}: {error}",
+                )
--- /dev/null
+++ b/src/hawthornmast/routing/__init__.py
@@ -0,0 +1,21 @@
+"""Routes by host and path, and the configuration that holds them."""
+
+from hawthornmast.routing.configuration import Configuration
+from hawthornmast.routing.configuration import decode_configuration
+from hawthornmast.routing.configuration import encode_configuration
+from hawthornmast.routing.configuration import RequestLimits
+from hawthornmast.routing.configuration import Route
+from hawthornmast.routing.configuration import ServiceOptions
+from hawthornmast.routing.configuration import Target
+from hawthornmast.routing.splits import SplitBalancer
+
+__all__ = [
+    "Configuration",
+    "RequestLimits",
+    "Route",
+    "ServiceOptions",
+    "SplitBalancer",
+    "Target",
+    "decode_configuration",
+    "encode_configuration",
+]
--- /dev/null
+++ b/src/hawthornmast/routing/configuration.py
@@ -0,0 +1,212 @@
+"""One version of all routes, as it is put in force as a whole."""
+
+import functools
+from typing import Any
+
+import attrs
+
+from hawthornmast.common import Rank
+
+
+@attrs.frozen
+class Target:
+    """A service that gets a part of a route's requests.
+
+    Parameters
+    ----------
+    service
+        Name of the service.
+    weight
+        Part of the requests, relative to the route's other targets.
+    """
+
+    service: str
+    weight: float = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class Route:
+    """Requests of one host whose path has a prefix.
+
+    Parameters
+    ----------
+    name
+        Name that is unique in the configuration.
+    host
+        Value of ``Host`` in lower case, without a port.
+    prefix
+        Path prefix that begins and ends with a slash.
+    targets
+        Services that share the requests.
+    idempotent
+        False when a request must run at most once.
+    timeout_s
+        Seconds after which a client gets its final answer.
+    target_latency_s
+        Seconds within which an answer is on time.
+    max_attempts
+        Upstreams to which one request may be sent.
+    rank
+        Priority class.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    targets: tuple[Target, ...]
+    idempotent: bool
+    timeout_s: float
+    target_latency_s: float
+    max_attempts: int = 1
+    rank: Rank = Rank.STANDARD
+
+
+@attrs.frozen(kw_only=True)
+class ServiceOptions:
+    """What a configuration says of a service.
+
+    Parameters
+    ----------
+    name
+        Name of the service.
+    health_path
+        Path of its upstreams' health endpoint.
+    connections
+        Connections that an upstream accepts from all callers.
+    """
+
+    name: str
+    health_path: str = "/health"
+    connections: int = 400
+
+
+@attrs.frozen(kw_only=True)
+class RequestLimits:
+    """Limits on what clients may send.
+
+    Parameters
+    ----------
+    header_bytes, body_bytes
+        Size of a request's head and of its body.
+    header_s, idle_s
+        Seconds to complete a head and to begin the next request.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 1_048_576
+    header_s: float = 5.0
+    idle_s: float = 60.0
+
+
+@attrs.frozen(kw_only=True)
+class Configuration:
+    """All routes and services of one version.
+
+    Parameters
+    ----------
+    version
+        Number that rises with each configuration.
+    """
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    services: tuple[ServiceOptions, ...] = ()
+    limits: RequestLimits = RequestLimits()
+
+    def find_route(self, host: str, target: str) -> Route | None:
+        """Return the route with the longest prefix of a request's path.
+
+        Parameters
+        ----------
+        host
+            Host in lower case, without a port.
+        target
+            Target in origin form; a query is ignored.
+        """
+        prefixes = self._index.get(host)
+        if prefixes is None:
+            return None
+        path = target.partition("?")[0]
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+    def find_service(self, name: str) -> ServiceOptions | None:
+        """Return the options of a service."""
+        return self._services.get(name)
+
+    @functools.cached_property
+    def _index(self) -> dict[str, dict[str, Route]]:
+        index: dict[str, dict[str, Route]] = {}
+        for route in self.routes:
+            index.setdefault(route.host, {})[route.prefix] = route
+        return index
+
+    @functools.cached_property
+    def _services(self) -> dict[str, ServiceOptions]:
+        return {service.name: service for service in self.services}
+
+
+def encode_configuration(configuration: Configuration) -> list[Any]:
+    """Return a configuration as plain lists for other daemons."""
+    return [
+        configuration.version,
+        [
+            [
+                route.name,
+                route.host,
+                route.prefix,
+                [[item.service, item.weight] for item in route.targets],
+                route.idempotent,
+                route.timeout_s,
+                route.target_latency_s,
+                route.max_attempts,
+                int(route.rank),
+            ]
+            for route in configuration.routes
+        ],
+        [list(attrs.astuple(item)) for item in configuration.services],
+        list(attrs.astuple(configuration.limits)),
+    ]
+
+
+def decode_configuration(value: Any) -> Configuration:
+    """Return the configuration that another daemon encoded.
+
+    Raises ValueError, TypeError or IndexError for anything else.
+    """
+    version, routes, services, limits = value
+    header_bytes, body_bytes, header_s, idle_s = limits
+    return Configuration(
+        version=int(version),
+        routes=tuple(_decode_route(item) for item in routes),
+        services=tuple(
+            ServiceOptions(name=name, health_path=path, connections=count)
+            for name, path, count in services
+        ),
+        limits=RequestLimits(
+            header_bytes=header_bytes,
+            body_bytes=body_bytes,
+            header_s=header_s,
+            idle_s=idle_s,
+        ),
+    )
+
+
+def _decode_route(value: Any) -> Route:
+    name, host, prefix, targets, idempotent, timeout_s, latency_s = value[:7]
+    return Route(
+        name=name,
+        host=host,
+        prefix=prefix,
+        targets=tuple(Target(*item) for item in targets),
+        idempotent=bool(idempotent),
+        timeout_s=float(timeout_s),
+        target_latency_s=float(latency_s),
+        max_attempts=int(value[7]),
+        rank=Rank(value[8]),
+    )
