--- /dev/null
+++ b/src/hawthornmast/platform/tests/test_headers.py
@@ -0,0 +1,176 @@
+"""Headers of clients and upstreams."""
+
+import attrs
+import pytest
+
+from hawthornmast.common import Outcome
+from hawthornmast.common import Upstream
+from hawthornmast.forwarding.messages import Answer
+from hawthornmast.forwarding.messages import BadInputError
+from hawthornmast.forwarding.messages import ClientRequest
+from hawthornmast.gateway.upstreams import Verdict
+from hawthornmast.platform.headers import ClientHeaders
+from hawthornmast.platform.headers import UpstreamHeaders
+
+UPSTREAM = Upstream(
+    upstream_id="u1", zone="a", host="127.0.0.1", port=1, slots=4
+)
+
+
+def make_request(**headers: str) -> ClientRequest:
+    """Return a request; underscores in names stand for hyphens."""
+    pairs = [
+        (name.replace("_", "-").encode(), value.encode())
+        for name, value in headers.items()
+    ]
+    request = ClientRequest(
+        request_id="",
+        method="GET",
+        target="/read/1",
+        service="boxes.example",
+        headers=pairs,
+    )
+    ClientHeaders().read(request, dict(pairs))
+    return request
+
+
+@attrs.define
+class Answered:
+    """What an exchange shows of an answer."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the value of a header."""
+        return dict(self.headers).get(name)
+
+
+class TestClientHeaders:
+    """The attempt's identifier and the time that is left."""
+
+    def test_reads_both(self) -> None:
+        request = make_request(
+            hawthornmast_attempt_id="9c41",
+            hawthornmast_request_deadline="3000",
+        )
+        assert (request.request_id, request.timeout_s) == ("9c41", 3.0)
+
+    def test_neither_is_needed(self) -> None:
+        request = make_request()
+        assert (request.request_id, request.timeout_s) == ("", None)
+
+    @pytest.mark.parametrize("value", ["0", "-1", "soon", "1.5", "1" * 9])
+    def test_refuses_bad_times(self, value: str) -> None:
+        with pytest.raises(BadInputError):
+            make_request(hawthornmast_request_deadline=value)
+
+    def test_refusal_tells_when_to_return_in_fractions(self) -> None:
+        answer = Answer(
+            status=503, outcome=Outcome.NOT_RUN, retry_after=0.0625
+        )
+        assert ClientHeaders().head(answer, "9c41") == [
+            (b"retry-after", b"0.062"),
+            (b"hawthornmast-attempt-id", b"9c41"),
+        ]
+
+    def test_an_upstreams_answer_is_not_changed(self) -> None:
+        pairs = [
+            (b"hawthornmast-attempt-id", b"9c41"),
+            (b"hawthornmast-response-signature", b"3e1b"),
+        ]
+        answer = Answer(
+            status=200, outcome=Outcome.COMPLETE, headers=list(pairs)
+        )
+        assert ClientHeaders().head(answer, "9c41") == pairs
+
+
+class TestUpstreamHeaders:
+    """What upstreams are told, and what their answers say."""
+
+    def test_request(self) -> None:
+        request = make_request(
+            hawthornmast_attempt_id="9c41",
+            hawthornmast_request_deadline="3000",
+            hawthornmast_expected_instance="forged",
+            hawthornmast_other="kept",
+            connection="x-hop",
+            x_hop="dropped",
+        )
+        headers = UpstreamHeaders().build_headers(request, UPSTREAM, 1.2345)
+        assert headers == [
+            (b"host", b"boxes.example"),
+            (b"hawthornmast-attempt-id", b"9c41"),
+            (b"hawthornmast-other", b"kept"),
+            (b"via", b"1.1 hawthornmast"),
+            (b"hawthornmast-request-deadline", b"1234"),
+            (b"hawthornmast-expected-instance", b"u1"),
+        ]
+
+    def test_never_tells_more_time_than_is_left(self) -> None:
+        request = make_request()
+        headers = UpstreamHeaders().build_headers(request, UPSTREAM, 0.9999)
+        assert dict(headers)[b"hawthornmast-request-deadline"] == b"999"
+
+    def test_answer_keeps_the_signature(self) -> None:
+        answered = Answered(
+            200,
+            [
+                (b"hawthornmast-response-signature", b"3e1b"),
+                (b"keep-alive", b"timeout=10"),
+                (b"content-length", b"5"),
+            ],
+        )
+        kept = UpstreamHeaders().filter_answer(answered)
+        assert kept == [
+            (b"hawthornmast-response-signature", b"3e1b"),
+            (b"via", b"1.1 hawthornmast"),
+        ]
+
+    @pytest.mark.parametrize(
+        ("status", "headers", "verdict"),
+        [
+            (200, {"response-signature": "3e1b"}, Verdict()),
+            (500, {"response-signature": "3e1b"}, Verdict()),
+            (200, {}, Verdict(whole=False)),
+            (
+                200,
+                {"response-signature": "3e1b", "attempt-id": "9c41"},
+                Verdict(),
+            ),
+            (
+                200,
+                {"response-signature": "3e1b", "attempt-id": "other"},
+                Verdict(own=False),
+            ),
+            (
+                503,
+                {"not-executed": "1"},
+                Verdict(whole=False, not_run=True),
+            ),
+            (421, {}, Verdict(whole=False, not_run=True, moved=True)),
+        ],
+    )
+    def test_judges_answers(
+        self, status: int, headers: dict[str, str], verdict: Verdict
+    ) -> None:
+        answered = Answered(
+            status,
+            [
+                (f"hawthornmast-{name}".encode(), value.encode())
+                for name, value in headers.items()
+            ],
+        )
+        request = make_request(hawthornmast_attempt_id="9c41")
+        assert UpstreamHeaders().judge(answered, request) == verdict
+
+    def test_a_coding_that_nobody_asked_for_is_no_whole_answer(self) -> None:
+        answered = Answered(
+            200,
+            [
+                (b"hawthornmast-response-signature", b"3e1b"),
+                (b"content-encoding", b"gzip"),
+            ],
+        )
+        judged = UpstreamHeaders().judge(answered, make_request())
+        assert not judged.whole
--- /dev/null
+++ b/src/hawthornmast/platform/tests/test_settings.py
@@ -0,0 +1,90 @@
+"""The platform's settings file."""
+
+import pathlib
+
+from hawthornmast.gateway import Bounds
+from hawthornmast.platform.settings import load_settings
+from hawthornmast.platform.settings import parse_settings
+
+TEXT = """\
+Node=edge-zone-a-1
+Role=member
+MachineClass=edge
+Ip=10.1.0.18
+Zone=zone-a
+Region=region-1
+Listen.Front=10.1.0.18:8381
+Listen.Ready=10.1.0.18:8388
+Listen.Control=10.1.0.18:8382
+Listen.Directory=10.1.0.18:8383
+InternalPorts=7200,7215
+Seeds=10.1.0.18:8382,10.2.0.34:8382
+Limits.MaxFds=4100
+Bounds.Grace=6s
+Bounds.RetryBudgetRatio=0.2
+Bounds.BudgetWindow=10s
+Bounds.BudgetSlack=62
+Bounds.ttl_max=500ms
+Platform.Address=10.200.1.7:8384
+New.Field=of a later version
+"""
+
+
+def drop(key: str) -> str:
+    """Return the settings without a key."""
+    lines = TEXT.splitlines()
+    return "\n".join(line for line in lines if not line.startswith(key + "="))
+
+
+class TestParseSettings:
+    """Known fields are decoded once; unknown ones are ignored."""
+
+    def test_fields(self) -> None:
+        settings = parse_settings(TEXT, source="s").unwrap()
+        options = settings.options
+        assert options.instance.address == "10.1.0.18:8381"
+        assert options.instance.peer_port == 7200
+        assert options.seeds == ("10.1.0.18", "10.2.0.34")
+        assert options.bounds == Bounds(
+            retry_ratio=0.2,
+            retry_slack=62.0,
+            retry_window_s=10.0,
+            grace_s=6.0,
+            address_ttl_s=0.5,
+        )
+        assert settings.store == ("10.200.1.7", 8384)
+        assert settings.ready == ("10.1.0.18", 8388)
+        assert settings.directory == ("10.1.0.18", 8383)
+
+    def test_descriptors_leave_room_for_upstreams(self) -> None:
+        options = parse_settings(TEXT, source="s").unwrap().options
+        assert 100 <= options.connections <= 4100 - 200
+
+    def test_optional_fields(self) -> None:
+        text = drop("Seeds")
+        settings = parse_settings(text, source="s").unwrap()
+        assert settings.options.seeds == ()
+
+    def test_missing_field_is_named(self) -> None:
+        for key in ("Node", "Listen.Front", "Platform.Address"):
+            error = parse_settings(drop(key), source="file").unwrap_err()
+            assert error.detail == f"{key} is missing"
+            assert error.peer == "file"
+
+    def test_bad_value_is_named(self) -> None:
+        text = TEXT.replace("Grace=6s", "Grace=soon")
+        error = parse_settings(text, source="file").unwrap_err()
+        assert "'soon'" in error.detail
+
+
+class TestLoadSettings:
+    """Files that can't be read are errors with their path."""
+
+    def test_file(self, tmp_path: pathlib.Path) -> None:
+        path = tmp_path / "settings.conf"
+        path.write_text(TEXT)
+        assert load_settings(str(path)).is_ok()
+
+    def test_missing_file(self, tmp_path: pathlib.Path) -> None:
+        path = str(tmp_path / "none")
+        assert load_settings(path).unwrap_err().peer == path
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -47,6 +47,11 @@
         Executions kept, the newest ones.
     """
 
+    key_name = b"x-request-key"
+    echoed_name = b"hawthornmast-request-id"
+    timeout_name = b"hawthornmast-timeout-ms"
+    certificate = (b"Upstream-Not-Run", b"1")
+
     def __init__(
         self,
         *,
@@ -185,21 +190,24 @@
     ) -> bool:
         faults = self.faults
         names = dict(request.headers)
-        key = names.get(b"x-request-key", b"").decode("latin-1")
+        key = names.get(self.key_name, b"").decode("latin-1")
         if faults.mute and not faults.run_muted:
             await self._wait_closed(stream)
             return False
         headers = [
-            (b"x-request-key", key.encode("latin-1")),
-            (
-                b"hawthornmast-request-id",
-                names.get(b"hawthornmast-request-id", b""),
-            ),
+            (self.key_name, key.encode("latin-1")),
+            (self.echoed_name, names.get(self.echoed_name, b"")),
         ]
+        rejected = self.reject(names)
+        if rejected is not None:
+            headers += rejected[1]
+            return await self._send(
+                stream, connection, request, rejected[0], headers, b"", faults
+            )
         if self.busy >= self._slots or faults.shed_all:
             self.shed += 1
             if faults.certified:
-                headers.append((b"Upstream-Not-Run", b"1"))
+                headers.append(self.certificate)
             return await self._send(
                 stream, connection, request, 503, headers, b"busy", faults
             )
@@ -208,7 +216,7 @@
             method=request.method.decode(),
             target=request.target.decode(),
             start=self._clock(),
-            timeout_ms=names.get(b"hawthornmast-timeout-ms", b"").decode(),
+            timeout_ms=names.get(self.timeout_name, b"").decode(),
         )
         self.log.append(run)
         if len(self.log) > self._max_log:
@@ -232,6 +240,7 @@
         text = text.ljust(faults.body_bytes, b".")
         if faults.keyed_bytes:
             text = make_body(key, faults.keyed_bytes)
+        headers += self.sign(key, text)
         previous, self._previous = self._previous, (headers, text)
         if faults.crossed and previous is not None:
             headers, text = previous
@@ -239,6 +248,18 @@
             stream, connection, request, status, headers, text, faults
         )
 
+    def reject(
+        self, names: dict[bytes, bytes]
+    ) -> tuple[int, list[tuple[bytes, bytes]]] | None:
+        """Return the status and headers that refuse a request."""
+        del names
+        return None
+
+    def sign(self, key: str, text: bytes) -> list[tuple[bytes, bytes]]:
+        """Return the headers that mark the answer of a run."""
+        del key, text
+        return []
+
     async def _work(self, stream: trio.SocketStream, run: Execution) -> bool:
         """Take the service time; return whether the deadline was met."""
         faults = self.faults
--- /dev/null
+++ b/tests/deployment.py
@@ -0,0 +1,137 @@
+"""A deployment on the users' platform within one test."""
+
+from collections.abc import Mapping
+import itertools
+import os
+from typing import Any
+
+import attrs
+import trio
+
+from hawthornmast import http
+from hawthornmast.common import Instance
+from hawthornmast.gateway import Bounds
+from hawthornmast.gateway import GatewayMember
+from hawthornmast.gateway import GatewayOptions
+from hawthornmast.platform.headers import ClientHeaders
+from hawthornmast.platform.headers import UpstreamHeaders
+from hawthornmast.platform.store import PlatformStore
+from standins.deployment import BackendStandIn
+from standins.deployment import make_configuration
+from standins.deployment import StoreStandIn
+
+_NETWORKS = itertools.count(os.getpid() % 100 * 100)
+BOUNDS = Bounds(
+    retry_ratio=0.2, retry_slack=62.0, address_ttl_s=0.2, grace_s=2.0
+)
+FRONT_PORT = 8381
+PEER_PORT = 7200
+
+
+def take_network() -> str:
+    """Return the first three numbers of unused loopback addresses."""
+    number = next(_NETWORKS) % 10_000
+    return f"127.{1 + number // 200}.{number % 200}"
+
+
+@attrs.define(kw_only=True, eq=False)
+class Deployment:
+    """A store, back ends and members, all in one event loop."""
+
+    nursery: trio.Nursery
+    bounds: Bounds = BOUNDS
+    store: StoreStandIn = attrs.Factory(StoreStandIn)
+    backends: dict[str, BackendStandIn] = attrs.Factory(dict)
+    members: list[GatewayMember] = attrs.Factory(list)
+    network: str = attrs.Factory(take_network)
+    _attempts: int = 0
+
+    async def start(
+        self, *, members: int = 1, services: Mapping[str, int]
+    ) -> None:
+        """Start the store, the back ends of each service and members."""
+        await self.store.start(self.nursery)
+        self.store.put("op/config", make_configuration())
+        for service, count in services.items():
+            for number in range(count):
+                await self.add_backend(f"{service}-{number}", service)
+        for number in range(members):
+            await self.add_member(number)
+        await self.wait_ready()
+
+    async def add_backend(self, name: str, service: str) -> BackendStandIn:
+        """Start a back end and list it."""
+        backend = BackendStandIn(name)
+        await backend.start(self.nursery)
+        self.backends[name] = backend
+        self.list_backend(name, service)
+        return backend
+
+    def list_backend(self, name: str, service: str, **changes: Any) -> None:
+        """Write the entry of a back end."""
+        address = f"127.0.0.1:{self.backends[name].port}"
+        self.store.list_upstream(name, service, address, **changes)
+
+    async def add_member(self, number: int) -> GatewayMember:
+        """Start a member."""
+        host = f"{self.network}.{number + 1}"
+        member = GatewayMember(
+            GatewayOptions(
+                instance=Instance(
+                    instance_id=f"member-{number}",
+                    zone=f"zone-{'abc'[number % 3]}",
+                    host=host,
+                    port=FRONT_PORT,
+                    peer_port=PEER_PORT,
+                ),
+                seeds=(f"{self.network}.1", f"{self.network}.2"),
+                bounds=self.bounds,
+            ),
+            PlatformStore("127.0.0.1", self.store.port),
+            client_dialect=ClientHeaders(),
+            upstream_dialect=UpstreamHeaders(),
+        )
+        await member.start(self.nursery)
+        self.members.append(member)
+        return member
+
+    async def wait_ready(self) -> None:
+        """Wait until all members serve and know each other."""
+        with trio.fail_after(8):
+            while not all(
+                member.ready and len(member.gossip.live()) == len(self.members)
+                for member in self.members
+            ):
+                await trio.sleep(0.02)
+
+    async def send(
+        self,
+        method: str,
+        target: str,
+        *,
+        host: str = "boxes.example",
+        member: int = 0,
+        timeout_ms: int = 3000,
+        body: bytes = b"",
+    ) -> http.Response:
+        """Send one attempt to a member; raise when it gets no answer."""
+        self._attempts += 1
+        done = await http.fetch(
+            self.members[member].options.instance.host,
+            FRONT_PORT,
+            method,
+            target,
+            headers=(
+                ("Host", host),
+                ("Hawthornmast-Attempt-Id", f"attempt-{self._attempts}"),
+                ("Hawthornmast-Request-Deadline", str(timeout_ms)),
+            ),
+            body=body,
+            timeout=timeout_ms / 1000 + 1.0,
+        )
+        return done.unwrap()
+
+    def count_runs(self, attempt: str | None = None) -> int:
+        """Return how often back ends ran an attempt, by default the last."""
+        key = attempt or f"attempt-{self._attempts}"
+        return sum(item.count_runs(key) for item in self.backends.values())
