Let evidence count for what it shows, and open the port before imports

Changes: the time of sending decides which successes count; late failures weigh less; unreachable and silent upstreams are left alone by the member concerned; the port is opened first and requests wait for the configuration.

Ruled out: taking repeatable work from an upstream that is silent for half of its time or for 4 mean times.

--- a/src/hawthornmast/__init__.py
+++ b/src/hawthornmast/__init__.py
@@ -1,11 +1,20 @@
-"""Proxy fleet for back ends with gray failures."""
+"""Proxy fleet for back ends with gray failures.
 
-from hawthornmast.audit import AuditTrail
-from hawthornmast.common import Instance
-from hawthornmast.common import Outcome
-from hawthornmast.common import Rank
-from hawthornmast.common import StepError
-from hawthornmast.common import Upstream
+The public names are imported when they are first used, so that a process can
+open its ports before it spends time on imports.
+"""
+
+import importlib
+from typing import Any
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from hawthornmast.audit import AuditTrail
+    from hawthornmast.common import Instance
+    from hawthornmast.common import Outcome
+    from hawthornmast.common import Rank
+    from hawthornmast.common import StepError
+    from hawthornmast.common import Upstream
 
 __version__ = "0.1.0"
 
@@ -18,3 +27,10 @@
     "Upstream",
     "__version__",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    if name not in __all__:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    slice_name = "audit" if name == "AuditTrail" else "common"
+    return getattr(importlib.import_module(f"{__name__}.{slice_name}"), name)
--- a/src/hawthornmast/forwarding/server.py
+++ b/src/hawthornmast/forwarding/server.py
@@ -115,11 +115,33 @@
         """Number of open connections."""
         return len(self._connections)
 
-    async def start(self, nursery: trio.Nursery) -> None:
-        """Listen, and serve in the nursery until ``close``."""
-        self._listeners = await trio.open_tcp_listeners(
-            self._port, host=self._host
-        )
+    @property
+    def busy(self) -> bool:
+        """Whether any request is running."""
+        return bool(self._watched)
+
+    async def start(
+        self,
+        nursery: trio.Nursery,
+        *,
+        listener: socket.socket | None = None,
+    ) -> None:
+        """Listen, and serve in the nursery until ``close``.
+
+        Parameters
+        ----------
+        listener
+            A socket that listens already, instead of a new one.
+        """
+        if listener is not None:
+            opened = trio.SocketListener(
+                trio.socket.from_stdlib_socket(listener)
+            )
+            self._listeners = [opened]
+        else:
+            self._listeners = await trio.open_tcp_listeners(
+                self._port, host=self._host
+            )
         self._port = self._listeners[0].socket.getsockname()[1]
         nursery.start_soon(self._serve)
 
--- a/src/hawthornmast/forwarding/upstream.py
+++ b/src/hawthornmast/forwarding/upstream.py
@@ -44,6 +44,8 @@
         The attempt used a kept connection.
     answered
         A byte of a response arrived.
+    unreachable
+        No connection was established in time.
     started_at
         Time of the first byte.
     """
@@ -51,6 +53,7 @@
     started: bool = False
     reused: bool = False
     answered: bool = False
+    unreachable: bool = False
     started_at: float = 0.0
 
 
@@ -290,6 +293,9 @@
             done = True
             return Ok(exchange)
         except (OSError, h11.RemoteProtocolError) as error:
+            progress.unreachable = step == "connect" and isinstance(
+                error, TimeoutError
+            )
             detail = f"{type(error).__name__}: {error}"
             return Err(
                 StepError(step=step, detail=detail, peer=upstream.address)
--- a/src/hawthornmast/gateway/evidence.py
+++ b/src/hawthornmast/gateway/evidence.py
@@ -11,10 +11,14 @@
 import trio
 
 from hawthornmast.gateway.services import ServiceStates
+from hawthornmast.health.belief import Sign
 
 FLUSH_S = 0.06
 """Period of reports; a failure is reported at once."""
 
+MOST_SIGNS = 3
+"""Equal signs of one report that count; more add nothing to a belief."""
+
 REFRESH_S = 1.0
 """Period at which use is reported again, in case a report was lost."""
 
@@ -35,22 +39,31 @@
     ) -> None:
         self._services = services
         self._send = send
-        # Outcomes since the last report: [succeeded, failed].
+        # Counts by sign since the last report.
         self._outcomes: dict[tuple[str, str], list[int]] = {}
         self._reported: dict[tuple[str, str], int] = {}
         self._flush_at = 0.0
         self._refresh_at = 0.0
 
     def note_outcome(
-        self, service: str, upstream_id: str, *, failed: bool
+        self, service: str, upstream_id: str, sign: Sign, *, sent_at: float
     ) -> None:
-        """Apply an outcome here and report it."""
+        """Apply what a request showed here, and report it."""
         state = self._services.find(service)
         if state is not None:
-            state.pool.note_outcome(upstream_id, failed=failed)
-        counts = self._outcomes.setdefault((service, upstream_id), [0, 0])
-        counts[failed] += 1
-        if failed:
+            member = state.pool.members.get(upstream_id)
+            if (
+                member is not None
+                and sign is Sign.SUCCEEDED
+                and sent_at < member.belief.failed_at
+            ):
+                return
+            state.pool.note_sign(upstream_id, sign, sent_at=sent_at)
+        counts = self._outcomes.setdefault(
+            (service, upstream_id), [0] * len(Sign)
+        )
+        counts[sign] += 1
+        if sign is not Sign.SUCCEEDED:
             self.flush()
 
     def tick(self) -> None:
@@ -78,8 +91,7 @@
                     member.in_use
                 ):
                     continue
-                succeeded, failed = counts or (0, 0)
-                changed.append([key, member.in_use, succeeded, failed])
+                changed.append([key, member.in_use, *(counts or ())])
                 self._reported[name] = member.in_use
             if changed:
                 rows.append([state.name, changed])
@@ -92,14 +104,14 @@
 
         Raises ValueError or TypeError for a malformed report.
         """
+        now = trio.current_time()
         for name, changed in rows:
             state = self._services.find(name)
             if state is None:
                 continue
-            for key, in_use, succeeded, failed in changed:
+            for key, in_use, *counts in changed:
                 state.pool.note_use(key, peer, int(in_use))
-                for _ in range(min(int(succeeded), 3)):
-                    state.pool.note_outcome(key, failed=False)
-                for _ in range(min(int(failed), 3)):
-                    state.pool.note_outcome(key, failed=True)
+                for sign, count in zip(Sign, counts, strict=False):
+                    for _ in range(min(int(count), MOST_SIGNS)):
+                        state.pool.note_sign(key, sign, sent_at=now)
             state.dispatcher.kick()
--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -1,6 +1,7 @@
 """Runs a client's request on upstreams of its route's service."""
 
 from collections.abc import Callable
+import math
 from typing import Protocol
 
 import attrs
@@ -24,6 +25,7 @@
 from hawthornmast.gateway.services import ServiceState
 from hawthornmast.gateway.services import ServiceStates
 from hawthornmast.gateway.upstreams import UpstreamDialect
+from hawthornmast.health.belief import Sign
 from hawthornmast.routing import Configuration
 from hawthornmast.routing import Route
 from hawthornmast.routing import SplitBalancer
@@ -43,6 +45,13 @@
 """Idle seconds up to which a connection carries work that can't be
 repeated."""
 
+LATE_SHARE = 0.5
+"""Part of the mean time of a route's answers after which a failure is taken
+as the request's own rather than its upstream's."""
+
+SMOOTHING = 0.05
+"""Weight of the newest answer in the mean time of a route's answers."""
+
 FAIR_SHARE = 0.5
 """Part of a route's time after which an unanswered request counts against
 its upstream."""
@@ -110,6 +119,7 @@
         self._evidence = evidence
         self._clock = clock
         self._splits = SplitBalancer()
+        self._answer_s: dict[str, float] = {}
 
     def forget_splits(self) -> None:
         """Apply new weights from the next request on."""
@@ -198,6 +208,7 @@
             )
         admission = admitted.ok_value
         upstream = admission.upstream
+        likely = run.state.pool.likely_to_fail(upstream.upstream_id)
         run.trace.queue_s += admission.waited
         run.trace.upstreams.append(upstream.upstream_id)
         began = self._clock()
@@ -210,9 +221,7 @@
                 deadline=run.deadline,
                 fresh=bool(run.offered),
                 buffer_bytes=BUFFER_BYTES,
-                max_idle_s=(
-                    REUSE_S if not run.route.idempotent else float("inf")
-                ),
+                max_idle_s=math.inf if run.route.idempotent else REUSE_S,
             )
             if run.progress.started:
                 run.offered.add(upstream.upstream_id)
@@ -221,17 +230,25 @@
                 return self._after_error(run, upstream, sent.err_value.step)
             exchange = sent.ok_value
             step = str(exchange.status)
-            return await self._after_response(run, upstream, exchange)
+            run.state.pool.note_answer(upstream.upstream_id)
+            spent_s = self._clock() - began
+            if exchange.status < 300:
+                self._note_time(run.route.name, spent_s)
+            return await self._after_response(run, upstream, exchange, spent_s)
         except trio.Cancelled:
             self._judge_cancelled(run, upstream, began)
             raise
         finally:
             spent_ms = round((self._clock() - began) * 1000)
             run.trace.steps.append(
-                f"{upstream.upstream_id}:{step}:{spent_ms}ms"
+                f"{upstream.upstream_id}:{step}:{spent_ms}ms:{likely:.2f}"
             )
             admission.release()
 
+    def _note_time(self, route: str, seconds: float) -> None:
+        known = self._answer_s.get(route, seconds)
+        self._answer_s[route] = known + SMOOTHING * (seconds - known)
+
     def _build_request(self, run: _Run, upstream: Upstream) -> UpstreamRequest:
         request = run.request
         left_s = run.deadline - self._clock()
@@ -244,7 +261,11 @@
         )
 
     async def _after_response(
-        self, run: _Run, upstream: Upstream, exchange: Exchange
+        self,
+        run: _Run,
+        upstream: Upstream,
+        exchange: Exchange,
+        spent_s: float,
     ) -> Answer | None:
         verdict = self._dialect.judge(exchange, run.request)
         own = verdict.own and verdict.whole
@@ -254,7 +275,13 @@
             if verdict.not_run:
                 return self._after_rejection(run, upstream)
             failed = not own or exchange.status >= 500
-            self._note(run, upstream, failed=failed)
+            mean_s = self._answer_s.get(run.route.name, math.inf)
+            self._note(
+                run,
+                upstream,
+                failed=failed,
+                late=own and spent_s >= LATE_SHARE * mean_s,
+            )
             if not own:
                 return self._after_failure(
                     run,
@@ -308,7 +335,10 @@
         if not run.progress.started:
             # Nothing was sent, so that the request is as good as new.
             run.exclude.add(upstream.upstream_id)
-            self._note(run, upstream, failed=True)
+            if run.progress.unreachable:
+                run.state.pool.note_unreachable(upstream.upstream_id)
+            else:
+                self._note(run, upstream, failed=True)
             return None
         # A kept connection that was closed says nothing of its upstream.
         if not run.progress.reused or run.progress.answered:
@@ -353,9 +383,22 @@
         ):
             self._note(run, upstream, failed=True)
 
-    def _note(self, run: _Run, upstream: Upstream, *, failed: bool) -> None:
+    def _note(
+        self,
+        run: _Run,
+        upstream: Upstream,
+        *,
+        failed: bool,
+        late: bool = False,
+    ) -> None:
+        sign = Sign.SUCCEEDED
+        if failed:
+            sign = Sign.FAILED_LATE if late else Sign.FAILED
         self._evidence.note_outcome(
-            run.state.name, upstream.upstream_id, failed=failed
+            run.state.name,
+            upstream.upstream_id,
+            sign,
+            sent_at=run.progress.started_at or self._clock(),
         )
 
     def _refuse_busy(
--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import logging
 import random
+import socket
 import time
 from typing import Any
 
@@ -40,6 +41,20 @@
 _LOG = logging.getLogger("hawthornmast.gateway")
 
 TICK_S = 0.05
+"""Period of reports and of the queues while requests run, otherwise
+``IDLE_TICK_S``."""
+
+IDLE_TICK_S = 0.1
+
+CONNECT_S = 0.3
+"""Seconds within which an upstream's connection is established. A lost
+opening packet is repeated by the kernel after 1 s, by a new try at once."""
+
+START_SHARE = 0.3
+"""Part of a client's time that a request waits while its member starts."""
+
+DEFAULT_WAIT_S = 2.0
+"""Time of a client that did not say how long it waits."""
 
 ACCEPT_SHARE = 0.5
 """Part of the grace time after SIGTERM in which connections are accepted."""
@@ -81,6 +96,14 @@
             on_bad_input=on_bad_input,
         )
         self._on_finished = on_finished
+        self.informed = trio.Event()
+
+    async def prepare(self, request: ClientRequest) -> None:
+        """Wait for what a request needs while the member starts."""
+        if not self.informed.is_set():
+            allowed_s = request.timeout_s or DEFAULT_WAIT_S
+            with trio.move_on_after(allowed_s * START_SHARE):
+                await self.informed.wait()
 
     def report(
         self, request: ClientRequest, trace: Trace, answer: Answer
@@ -141,7 +164,7 @@
         self.evidence = EvidenceExchange(
             self.services, send=self._send_evidence
         )
-        upstreams = UpstreamClient(ends_with_close=True)
+        upstreams = UpstreamClient(connect_s=CONNECT_S, ends_with_close=True)
         self.forwarder = RouteForwarder(
             self,
             self.services,
@@ -193,8 +216,19 @@
         chosen.sort(key=lambda item: (item.zone != zone, item.instance_id))
         return chosen
 
-    async def start(self, nursery: trio.Nursery) -> None:
-        """Open all ports and serve in the nursery."""
+    async def start(
+        self,
+        nursery: trio.Nursery,
+        *,
+        listener: socket.socket | None = None,
+    ) -> None:
+        """Open all ports and serve in the nursery.
+
+        Parameters
+        ----------
+        listener
+            Socket that listens on the clients' address already.
+        """
         self._nursery = nursery
         instance = self.options.instance
         await self.datagrams.start(nursery)
@@ -202,7 +236,7 @@
             instance.peer_port, host=instance.host
         )
         nursery.start_soon(self._serve_peers, listeners)
-        await self.server.start(nursery)
+        await self.server.start(nursery, listener=listener)
         nursery.start_soon(self.sources.run)
         nursery.start_soon(self._tick)
         self.started.set()
@@ -255,15 +289,13 @@
 
     async def _tick(self) -> None:
         while True:
-            await trio.sleep(TICK_S)
+            await trio.sleep(TICK_S if self.server.busy else IDLE_TICK_S)
             self.gossip.ready = self.ready
             for beat in self.gossip.next_beats():
                 await self._send_beat(beat.host, beat.rows)
             self.evidence.tick()
             for state in self.services:
-                if state.dispatcher.count_waiting():
-                    # Beliefs change with time alone.
-                    state.dispatcher.kick()
+                state.tick()
 
     async def _send_beat(self, host: str, rows: list[Any]) -> None:
         news = attrs.astuple(self.sources.news())
@@ -319,6 +351,7 @@
             origin=origin,
         )
         self.services.apply_configuration(configuration)
+        self._note_informed()
         self.forwarder.forget_splits()
         limits = configuration.limits
         self.server.limits = attrs.evolve(
@@ -339,6 +372,11 @@
             origin=origin,
         )
         self.services.apply_listing(entries)
+        self._note_informed()
+
+    def _note_informed(self) -> None:
+        if self.listing.known and self.sources.configuration is not None:
+            self.server.informed.set()
 
     def _report(
         self, request: ClientRequest, trace: Trace, answer: Answer
--- a/src/hawthornmast/gateway/services.py
+++ b/src/hawthornmast/gateway/services.py
@@ -14,6 +14,7 @@
 from hawthornmast.limits import Dispatcher
 from hawthornmast.limits import SharedPool
 from hawthornmast.limits import WindowBudget
+from hawthornmast.limits.shared import SILENT_S
 from hawthornmast.membership.listing import ListedUpstream
 from hawthornmast.routing import Configuration
 from hawthornmast.routing import Route
@@ -35,6 +36,11 @@
 don't return, so that one which probably ends in time is worth its slot."""
 
 
+SILENT_FACTOR = 4.0
+"""Mean service times without any answer after which an upstream counts as
+silent."""
+
+
 def make_entry(route: Route) -> Entry:
     """Return the catalogue entry by which a route's work is ranked."""
     return Entry(
@@ -98,6 +104,15 @@
         self.pool.update(upstreams)
         self.dispatcher.kick()
 
+    def tick(self) -> None:
+        """Run what is due; called every few milliseconds."""
+        self.pool.silent_s = max(
+            SILENT_S, SILENT_FACTOR * self.dispatcher.service_time
+        )
+        if self.dispatcher.count_waiting():
+            # Beliefs change with time alone.
+            self.dispatcher.kick()
+
     def update_entries(self, entries: tuple[Entry, ...], version: int) -> None:
         """Apply the routes of a new configuration."""
         self.dispatcher.update_service(
--- a/src/hawthornmast/gateway/sources.py
+++ b/src/hawthornmast/gateway/sources.py
@@ -49,8 +49,14 @@
 
 MAX_RANK = 6
 
-START_S = 0.1
-"""Seconds that a starting member waits for what other members have."""
+TICK_S = 0.03
+"""Period of checks while a member starts, afterwards ``IDLE_TICK_S``."""
+
+IDLE_TICK_S = 0.1
+
+START_S = 0.05
+"""Seconds that a starting member waits for what other members have; as many
+more for each rank, so that few read when all start at once."""
 
 READ_TIMEOUT_S = 1.2
 BACKOFF_S = 0.4
@@ -170,6 +176,11 @@
         """Version of the configuration in force, 0 when there is none."""
         return self.configuration.version if self.configuration else 0
 
+    @property
+    def new(self) -> bool:
+        """Whether anything is missing that requests need."""
+        return not self._listing.known or self.configuration is None
+
     def news(self) -> News:
         """Return what this member has."""
         now = trio.current_time()
@@ -187,7 +198,7 @@
         async with trio.open_nursery() as nursery:
             while True:
                 self._tick(nursery)
-                await trio.sleep(0.05)
+                await trio.sleep(TICK_S if self.new else IDLE_TICK_S)
 
     def receive(self, news: News, sender: Instance, nursery: Any) -> None:
         """Compare what another member has with what this one has."""
@@ -236,8 +247,8 @@
         version_age = now - self._version_at
         listing_due = age >= LISTING_S + later
         version_due = version_age >= CONFIGURATION_S + later
-        new = not self._listing.known or self.configuration is None
-        if new and now - self._started_at < START_S:
+        new = self.new
+        if new and now - self._started_at < START_S * (1 + rank):
             return
         if (
             (listing_due or version_due)
--- a/src/hawthornmast/health/belief.py
+++ b/src/hawthornmast/health/belief.py
@@ -9,11 +9,23 @@
 clear an upstream, and without any evidence both are forgotten.
 """
 
+import enum
 import math
 
 import attrs
 
 
+class Sign(enum.IntEnum):
+    """What one request showed of its upstream."""
+
+    SUCCEEDED = 0
+    FAILED = 1
+    FAILED_LATE = 2
+    """It failed after about the time that its work takes. An upstream that
+    fails most of its work does so sooner; requests that are bad themselves
+    fail so everywhere."""
+
+
 @attrs.frozen(kw_only=True)
 class FailureModel:
     """Rates of the two states.
@@ -24,16 +36,18 @@
         Changes per second of a sound upstream to the failing state.
     end_per_s
         Changes per second of a failing upstream to the sound state.
-    failing_share
-        Share of requests that fail in the failing state.
-    sound_share
-        Share of requests that fail in the sound state.
+    failing_share, failing_late_share
+        Shares of requests that fail early and late in the failing state.
+    sound_share, sound_late_share
+        Shares of requests that fail early and late in the sound state.
     """
 
     onset_per_s: float = 0.035
     end_per_s: float = 0.08
     failing_share: float = 0.75
-    sound_share: float = 0.015
+    failing_late_share: float = 0.06
+    sound_share: float = 0.005
+    sound_late_share: float = 0.012
 
     @property
     def mean(self) -> float:
@@ -49,10 +63,13 @@
             -rate * seconds
         )
 
-    def update(self, probability: float, *, failed: bool) -> float:
-        """Return a probability after one outcome."""
-        if failed:
+    def update(self, probability: float, sign: Sign) -> float:
+        """Return a probability after one request."""
+        if sign is Sign.FAILED:
             failing, sound = self.failing_share, self.sound_share
+        elif sign is Sign.FAILED_LATE:
+            failing = self.failing_late_share
+            sound = self.sound_late_share
         else:
             failing, sound = 1 - self.failing_share, 1 - self.sound_share
         weight = probability * failing
@@ -73,23 +90,30 @@
         Rates of the two states.
     """
 
-    __slots__ = ("_at", "_model", "_probability", "failed_at", "outcome_at")
+    __slots__ = ("_at", "_model", "_probability", "failed_at")
 
     def __init__(self, now: float, *, model: FailureModel = MODEL) -> None:
         self._model = model
         self._probability = model.mean
         self._at = now
-        self.outcome_at = -math.inf
         self.failed_at = -math.inf
 
     def at(self, now: float) -> float:
         """Return the probability at a time."""
         return self._model.drift(self._probability, now - self._at)
 
-    def note(self, now: float, *, failed: bool) -> None:
-        """Apply the outcome of one request."""
-        self._probability = self._model.update(self.at(now), failed=failed)
+    def note(self, now: float, sign: Sign, *, sent_at: float) -> None:
+        """Apply what one request showed.
+
+        Parameters
+        ----------
+        sent_at
+            When the upstream got the request. A success of work that began
+            before the last failure tells nothing of the time after it.
+        """
+        if sign is Sign.SUCCEEDED and sent_at < self.failed_at:
+            return
+        self._probability = self._model.update(self.at(now), sign)
         self._at = now
-        self.outcome_at = now
-        if failed:
+        if sign is not Sign.SUCCEEDED:
             self.failed_at = now
--- a/src/hawthornmast/limits/shared.py
+++ b/src/hawthornmast/limits/shared.py
@@ -15,8 +15,9 @@
 from hawthornmast.common import State
 from hawthornmast.common import Upstream
 from hawthornmast.health.belief import Belief
+from hawthornmast.health.belief import Sign
 
-USE_WEIGHT = 0.05
+USE_WEIGHT = 0.03
 """What a fully used upstream counts more than an idle one, as probability
 of failure."""
 
@@ -33,6 +34,16 @@
 TRIAL_S = 1.2
 """Seconds between two trial requests to an upstream."""
 
+BLOCK_S = 1.5
+"""Seconds without a try after an upstream could not be reached; they double
+with each further failure."""
+
+MOST_BLOCK_S = 6.0
+
+SILENT_S = 1.5
+"""Seconds without any answer, while requests wait, after which an upstream
+gets no more work from this daemon."""
+
 REPORT_S = 2.5
 """Seconds for which the use that another daemon reported counts."""
 
@@ -56,6 +67,10 @@
     listed: bool = True
     gone: bool = False
     sent_at: float = -1.0
+    # Since when requests of this daemon wait for any answer.
+    silent_from: float = 0.0
+    blocked_until: float = 0.0
+    block_s: float = BLOCK_S
     # Use by other daemons and the time of its report.
     others: dict[str, tuple[int, float]] = attrs.field(factory=dict)
 
@@ -103,6 +118,7 @@
         self._zone = zone
         self._may_try = may_try
         self.members: dict[str, PoolMember] = {}
+        self.silent_s = SILENT_S
         self._served: list[tuple[float, bool]] = []
 
     def update(self, upstreams: Iterable[Upstream]) -> None:
@@ -158,6 +174,10 @@
             use = member.count_use(now)
             if use >= slots:
                 continue
+            if now < member.blocked_until or (
+                member.in_use and now - member.silent_from > self.silent_s
+            ):
+                continue
             likely = member.belief.at(now)
             cost = likely + USE_WEIGHT * use / slots
             if member.upstream.zone != self._zone:
@@ -185,6 +205,8 @@
                 best, best_cost = member, cost
         if best is None:
             return None
+        if not best.in_use:
+            best.silent_from = now
         best.in_use += 1
         best.sent_at = now
         return best.upstream
@@ -216,11 +238,36 @@
             for key, member in self.members.items()
         )
 
-    def note_outcome(self, upstream_id: str, *, failed: bool) -> None:
-        """Apply the outcome of a request of this or of another daemon."""
+    def likely_to_fail(self, upstream_id: str) -> float:
+        """Return the probability that an upstream fails its work now."""
+        member = self.members.get(upstream_id)
+        return member.belief.at(self._clock()) if member else 0.0
+
+    def note_sign(
+        self, upstream_id: str, sign: Sign, *, sent_at: float
+    ) -> None:
+        """Apply what a request of this or of another daemon showed."""
+        member = self.members.get(upstream_id)
+        if member is not None:
+            member.belief.note(self._clock(), sign, sent_at=sent_at)
+
+    def note_answer(self, upstream_id: str) -> None:
+        """Note that an upstream answered this daemon."""
+        member = self.members.get(upstream_id)
+        if member is not None:
+            member.silent_from = self._clock()
+            member.blocked_until = 0.0
+            member.block_s = BLOCK_S
+
+    def note_unreachable(self, upstream_id: str) -> None:
+        """Stop trying an upstream that this daemon can't connect to.
+
+        Others may reach it, so that this is no evidence against it.
+        """
         member = self.members.get(upstream_id)
         if member is not None:
-            member.belief.note(self._clock(), failed=failed)
+            member.blocked_until = self._clock() + member.block_s
+            member.block_s = min(MOST_BLOCK_S, 2.0 * member.block_s)
 
     def note_use(self, upstream_id: str, peer: str, count: int) -> None:
         """Note the slots of an upstream that another daemon uses."""
--- a/src/hawthornmast/limits/tests/test_shared.py
+++ b/src/hawthornmast/limits/tests/test_shared.py
@@ -7,9 +7,12 @@
 
 from hawthornmast.common import State
 from hawthornmast.common import Upstream
+from hawthornmast.health.belief import Sign
 from hawthornmast.limits import SharedPool
+from hawthornmast.limits.shared import BLOCK_S
 from hawthornmast.limits.shared import FLOOR_S
 from hawthornmast.limits.shared import REPORT_S
+from hawthornmast.limits.shared import SILENT_S
 from hawthornmast.limits.shared import TRIAL_S
 
 
@@ -50,13 +53,15 @@
         for _ in range(len(self.pool.members)):
             taken = self.pool.take(repeatable=False)
             assert taken is not None
-            self.pool.note_outcome(taken.upstream_id, failed=False)
+            self.pool.note_sign(
+                taken.upstream_id, Sign.SUCCEEDED, sent_at=200.0
+            )
             self.pool.release(taken.upstream_id)
 
     def fail(self, name: str, times: int = 2) -> None:
         """Let an upstream fail requests."""
         for _ in range(times):
-            self.pool.note_outcome(name, failed=True)
+            self.pool.note_sign(name, Sign.FAILED, sent_at=200.0)
 
     def take_all(self, **options: object) -> list[str]:
         """Take slots until none is offered."""
@@ -165,11 +170,47 @@
             upstream = fixture.pool.take(repeatable=False)
             assert upstream is not None
             taken.add(upstream.upstream_id)
-            fixture.pool.note_outcome(upstream.upstream_id, failed=False)
+            fixture.pool.note_sign(
+                upstream.upstream_id, Sign.SUCCEEDED, sent_at=200.0
+            )
             fixture.pool.release(upstream.upstream_id)
         assert taken == set(names)
 
 
+class TestPaths:
+    """What one member can't reach is no evidence for the others."""
+
+    def test_unreachable_upstream_is_left_alone_for_a_while(self) -> None:
+        fixture = Fixture(make_upstream("u1"))
+        fixture.touch_all()
+        before = fixture.pool.likely_to_fail("u1")
+        fixture.pool.note_unreachable("u1")
+        assert fixture.pool.likely_to_fail("u1") == before
+        assert fixture.pool.take(patience=0.0) is None
+        fixture.clock.now += BLOCK_S + 0.1
+        assert fixture.pool.take() is not None
+
+    def test_the_while_doubles_until_an_answer(self) -> None:
+        fixture = Fixture(make_upstream("u1"))
+        fixture.touch_all()
+        for _ in range(2):
+            fixture.pool.note_unreachable("u1")
+        fixture.clock.now += BLOCK_S + 0.1
+        assert fixture.pool.take() is None
+        fixture.pool.note_answer("u1")
+        assert fixture.pool.take() is not None
+
+    def test_upstream_that_answers_nothing_gets_no_more(self) -> None:
+        # Its answers may be lost on the way to this member only.
+        fixture = Fixture(make_upstream("u1"))
+        fixture.touch_all()
+        assert fixture.pool.take() is not None
+        fixture.clock.now += SILENT_S + 0.1
+        assert fixture.pool.take() is None
+        fixture.pool.note_answer("u1")
+        assert fixture.pool.take() is not None
+
+
 class TestRelease:
     """Slots are given back once."""
 
--- a/src/hawthornmast/platform/process.py
+++ b/src/hawthornmast/platform/process.py
@@ -1,8 +1,8 @@
 """One process on the platform: start, reload and end."""
 
-from collections.abc import Mapping
 import logging
 import signal
+import socket
 import sys
 
 from result import Err
@@ -25,12 +25,17 @@
 """Port of the metrics page, as the deploy file names it."""
 
 
-def run_process(environment: Mapping[str, str]) -> int:
-    """Run a member until SIGTERM; return the exit status."""
+def run_process(path: str, *, listener: socket.socket | None = None) -> int:
+    """Run a member until SIGTERM; return the exit status.
+
+    Parameters
+    ----------
+    path
+        The settings file.
+    listener
+        Socket that listens on the clients' address already.
+    """
     log = open_bounded_log(sys.stdout.fileno())
-    path = environment.get(
-        settings_module.PATH_VARIABLE, settings_module.DEFAULT_PATH
-    )
     loaded = settings_module.load_settings(path)
     if isinstance(loaded, Err):
         error = loaded.err_value
@@ -46,7 +51,7 @@
         return 2
     status = 0
     try:
-        trio.run(_run, loaded.ok_value, path)
+        trio.run(_run, loaded.ok_value, path, listener)
     except* OSError as group:
         log_event(
             _LOG,
@@ -61,7 +66,9 @@
     return status
 
 
-async def _run(settings: PlatformSettings, path: str) -> None:
+async def _run(
+    settings: PlatformSettings, path: str, listener: socket.socket | None
+) -> None:
     store = PlatformStore(*settings.store)
     member = GatewayMember(
         settings.options,
@@ -74,7 +81,7 @@
         with trio.open_signal_receiver(
             signal.SIGTERM, signal.SIGHUP
         ) as signals:
-            await member.start(nursery)
+            await member.start(nursery, listener=listener)
             await _open_page(nursery, settings.ready, pages.answer_ready)
             if settings.directory is not None:
                 await _open_page(
--- a/src/hawthornmast/platform/settings.py
+++ b/src/hawthornmast/platform/settings.py
@@ -16,9 +16,6 @@
 from hawthornmast.platform.values import parse_address
 from hawthornmast.platform.values import parse_duration
 
-PATH_VARIABLE = "HAWTHORNMAST_CONFIG"
-DEFAULT_PATH = "/etc/hawthornmast/settings.conf"
-
 RESERVED_DESCRIPTORS = 200
 """Descriptors that the platform keeps for files."""
 
