Log what a member believes of upstreams and of other members

One line when an upstream is avoided, trusted again, unreachable or moved, with the probability, the slots left and who saw it, and one when the set of live members changes, with the addresses that clients are told.

--- a/src/hawthornmast/gateway/evidence.py
+++ b/src/hawthornmast/gateway/evidence.py
@@ -113,5 +113,5 @@
                 state.pool.note_use(key, peer, int(in_use))
                 for sign, count in zip(Sign, counts, strict=False):
                     for _ in range(min(int(count), MOST_SIGNS)):
-                        state.pool.note_sign(key, sign, sent_at=now)
+                        state.pool.note_sign(key, sign, sent_at=now, peer=peer)
             state.dispatcher.kick()
--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -183,6 +183,7 @@
             on_bad_input=self._report_bad_input,
         )
         self._nursery: trio.Nursery | None = None
+        self._live: set[str] = set()
 
     @property
     def configuration(self) -> Configuration | None:
@@ -291,12 +292,31 @@
         while True:
             await trio.sleep(TICK_S if self.server.busy else IDLE_TICK_S)
             self.gossip.ready = self.ready
+            self._log_members()
             for beat in self.gossip.next_beats():
                 await self._send_beat(beat.host, beat.rows)
             self.evidence.tick()
             for state in self.services:
                 state.tick()
 
+    def _log_members(self) -> None:
+        live = {item.instance_id for item in self.gossip.live()}
+        if live == self._live:
+            return
+        log_event(
+            _LOG,
+            "members-changed",
+            live=len(live),
+            found=",".join(sorted(live - self._live)) or "-",
+            lost=",".join(sorted(self._live - live)) or "-",
+            told=",".join(
+                item.instance_id
+                for item in self.owners(self.options.instance.zone)
+            )
+            or "-",
+        )
+        self._live = live
+
     async def _send_beat(self, host: str, rows: list[Any]) -> None:
         news = attrs.astuple(self.sources.news())
         await self.datagrams.send(host, Kind.BEAT, [rows, list(news)])
--- a/src/hawthornmast/gateway/services.py
+++ b/src/hawthornmast/gateway/services.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import logging
 import random
 
 import attrs
 import trio
 
+from hawthornmast.audit import log_event
 from hawthornmast.catalogue import Entry
 from hawthornmast.catalogue import Service
 from hawthornmast.common import Upstream
@@ -19,6 +21,8 @@
 from hawthornmast.routing import Configuration
 from hawthornmast.routing import Route
 
+_LOG = logging.getLogger("hawthornmast.gateway.services")
+
 QUEUE_LIMIT = 2000
 """Requests that may wait for a service in one member; their deadlines bound
 the queue before this number does."""
@@ -90,6 +94,7 @@
             random=random_source,
             zone=zone,
             may_try=lambda: self.budget.share() >= TRIAL_SHARE,
+            on_change=self._log_change,
         )
         self.dispatcher = Dispatcher(
             Service(name=name, owner="", queue_limit=QUEUE_LIMIT, entries=()),
@@ -104,6 +109,19 @@
         self.pool.update(upstreams)
         self.dispatcher.kick()
 
+    def _log_change(
+        self, change: str, upstream_id: str, likely: float, peer: str
+    ) -> None:
+        log_event(
+            _LOG,
+            f"upstream-{change}",
+            service=self.name,
+            upstream=upstream_id,
+            likely=round(likely, 3),
+            usable_slots=self.pool.count_usable(),
+            seen_by=peer or "self",
+        )
+
     def tick(self) -> None:
         """Run what is due; called every few milliseconds."""
         self.pool.silent_s = max(
--- a/src/hawthornmast/limits/shared.py
+++ b/src/hawthornmast/limits/shared.py
@@ -71,6 +71,7 @@
     silent_from: float = 0.0
     blocked_until: float = 0.0
     block_s: float = BLOCK_S
+    avoided: bool = False
     # Use by other daemons and the time of its report.
     others: dict[str, tuple[int, float]] = attrs.field(factory=dict)
 
@@ -103,6 +104,10 @@
     may_try
         Tells whether the retry budget has room for trial requests, which are
         likely to need a second attempt.
+    on_change
+        Called with what changed about an upstream (``avoided``, ``trusted``,
+        ``unreachable`` or ``moved``), its identifier, the probability that
+        it fails, and which daemon saw it, empty for this one.
     """
 
     def __init__(
@@ -112,11 +117,13 @@
         random: random_module.Random,
         zone: str = "",
         may_try: Callable[[], bool] = lambda: True,
+        on_change: Callable[[str, str, float, str], None] | None = None,
     ) -> None:
         self._clock = clock
         self._random = random
         self._zone = zone
         self._may_try = may_try
+        self._on_change = on_change
         self.members: dict[str, PoolMember] = {}
         self.silent_s = SILENT_S
         self._served: list[tuple[float, bool]] = []
@@ -244,12 +251,17 @@
         return member.belief.at(self._clock()) if member else 0.0
 
     def note_sign(
-        self, upstream_id: str, sign: Sign, *, sent_at: float
+        self, upstream_id: str, sign: Sign, *, sent_at: float, peer: str = ""
     ) -> None:
         """Apply what a request of this or of another daemon showed."""
         member = self.members.get(upstream_id)
-        if member is not None:
-            member.belief.note(self._clock(), sign, sent_at=sent_at)
+        if member is None:
+            return
+        member.belief.note(self._clock(), sign, sent_at=sent_at)
+        avoided = member.belief.at(self._clock()) > MOST_LIKELY
+        if avoided != member.avoided:
+            member.avoided = avoided
+            self._tell("avoided" if avoided else "trusted", member, peer)
 
     def note_answer(self, upstream_id: str) -> None:
         """Note that an upstream answered this daemon."""
@@ -268,6 +280,7 @@
         if member is not None:
             member.blocked_until = self._clock() + member.block_s
             member.block_s = min(MOST_BLOCK_S, 2.0 * member.block_s)
+            self._tell("unreachable", member)
 
     def note_use(self, upstream_id: str, peer: str, count: int) -> None:
         """Note the slots of an upstream that another daemon uses."""
@@ -287,6 +300,13 @@
         member = self.members.get(upstream_id)
         if member is not None:
             member.gone = True
+            self._tell("moved", member)
+
+    def _tell(self, change: str, member: PoolMember, peer: str = "") -> None:
+        if self._on_change is not None:
+            name = member.upstream.upstream_id
+            likely = member.belief.at(self._clock())
+            self._on_change(change, name, likely, peer)
 
     def note_served(self, *, served: bool) -> None:
         """Count a finished request of the service."""
