--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -59,7 +59,7 @@
 ACCEPT_SHARE = 0.5
 """Part of the grace time after SIGTERM in which connections are accepted."""
 
-FINISH_SHARE = 0.92
+FINISH_SHARE = 0.88
 """Part of the grace time after which requests in flight are given up."""
 
 MAX_BODY_BYTES = 16_777_216
@@ -397,6 +397,7 @@
     def _note_informed(self) -> None:
         if self.listing.known and self.sources.configuration is not None:
             self.server.informed.set()
+            self.gossip.ready = self.ready
 
     def _report(
         self, request: ClientRequest, trace: Trace, answer: Answer
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -5,7 +5,10 @@
 """
 
 import base64
+import itertools
 import json
+import os
+import pathlib
 from typing import Any
 
 import trio
@@ -13,6 +16,42 @@
 from hawthornmast import http
 from standins.upstream import UpstreamStandIn
 
+FRONT_PORT = 8381
+READY_PORT = 8388
+DIRECTORY_PORT = 8383
+PEER_PORT = 7200
+
+_NETWORKS = itertools.count(os.getpid() % 100 * 100)
+
+
+def take_network() -> str:
+    """Return the first three numbers of unused loopback addresses."""
+    number = next(_NETWORKS) % 10_000
+    return f"127.{1 + number // 200}.{number % 200}"
+
+
+def write_settings(
+    path: pathlib.Path,
+    *,
+    name: str,
+    host: str,
+    zone: str,
+    store_port: int,
+    seeds: str,
+) -> None:
+    """Write the settings file of one member."""
+    path.write_text(
+        f"Node={name}\nZone={zone}\nRegion=region-1\n"
+        f"Listen.Front={host}:{FRONT_PORT}\n"
+        f"Listen.Ready={host}:{READY_PORT}\n"
+        f"Listen.Directory={host}:{DIRECTORY_PORT}\n"
+        f"InternalPorts={PEER_PORT},{PEER_PORT + 15}\nSeeds={seeds}\n"
+        "Limits.MaxFds=4100\nBounds.Grace=2s\n"
+        "Bounds.RetryBudgetRatio=0.2\nBounds.BudgetSlack=62\n"
+        f"Platform.Address=127.0.0.1:{store_port}\n",
+        encoding="utf-8",
+    )
+
 
 class StoreStandIn:
     """The platform's store, as far as a member reads it.
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -1,8 +1,6 @@
 """A deployment on the users' platform within one test."""
 
 from collections.abc import Mapping
-import itertools
-import os
 from typing import Any
 
 import attrs
@@ -17,21 +15,15 @@
 from hawthornmast.platform.headers import UpstreamHeaders
 from hawthornmast.platform.store import PlatformStore
 from standins.deployment import BackendStandIn
+from standins.deployment import FRONT_PORT
 from standins.deployment import make_configuration
+from standins.deployment import PEER_PORT
 from standins.deployment import StoreStandIn
+from standins.deployment import take_network
 
-_NETWORKS = itertools.count(os.getpid() % 100 * 100)
 BOUNDS = Bounds(
     retry_ratio=0.2, retry_slack=62.0, address_ttl_s=0.2, grace_s=2.0
 )
-FRONT_PORT = 8381
-PEER_PORT = 7200
-
-
-def take_network() -> str:
-    """Return the first three numbers of unused loopback addresses."""
-    number = next(_NETWORKS) % 10_000
-    return f"127.{1 + number // 200}.{number % 200}"
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -166,13 +166,13 @@
         expected = {
             name: set(labels) for name, labels in _list_metrics().items()
         }
-        rows = read_table("operations.md", "Metrics")
+        rows = read_table("OPERATIONS.md", "Metrics")
         shown = {row[0]: set(row[1].split(", ")) - {"-"} for row in rows}
         assert shown == expected
         assert all(len(row[2]) > 15 for row in rows)
 
     def test_kinds_of_bad_input(self):
-        rows = read_table("operations.md", "Kinds of bad input")
+        rows = read_table("OPERATIONS.md", "Kinds of bad input")
         kinds = {kind.value for kind in administration.BadInput}
         assert {row[0] for row in rows} == kinds
 
@@ -184,7 +184,7 @@
             if "tests" not in path.parts and path.name != "trail.py":
                 names = re.findall(r"\bAct\.([A-Z_]+)", path.read_text())
                 used |= {Act[name].value for name in names}
-        rows = read_table("operations.md", "The audit trail")
+        rows = read_table("OPERATIONS.md", "The audit trail")
         assert {row[0] for row in rows} == used
 
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -10,10 +10,10 @@
 from hawthornmast import http
 from hawthornmast.gateway import Bounds
 from hawthornmast.gateway.sources import SNAPSHOT_PATH
+from standins.deployment import FRONT_PORT
 from standins.deployment import make_configuration
+from standins.deployment import PEER_PORT
 from tests.deployment import Deployment
-from tests.deployment import FRONT_PORT
-from tests.deployment import PEER_PORT
 
 
 @contextlib.asynccontextmanager
--- a/tools/demonstration.py
+++ b/tools/demonstration.py
@@ -1,4 +1,6 @@
-"""Runs both deployments on this machine, breaks parts, judges the outcome.
+"""Runs both deployments and the platform's adapter, and judges the outcome.
+
+Parts are broken meanwhile.
 
 Started by ``make run``. The last line of the output is
 ``result=ok requests=N ...`` when every promise held, else ``result=failed``.
@@ -14,6 +16,7 @@
 
 from hawthornmast.http import Client
 from standins.client import KEY_HEADER
+from tools.adapter import AdapterRun
 from tools.deployments import Deployment
 from tools.deployments import DEPLOYMENTS
 from tools.fleet import Fleet
@@ -22,6 +25,9 @@
 from tools.load import Load
 from tools.processes import ProcessGroup
 
+Judged = tuple[str, Findings, float, list[str]]
+"""Name, findings, added latency in ms and problems of one run."""
+
 REQUESTS = 1500
 """For each deployment, of which there are two."""
 
@@ -35,7 +41,7 @@
     deployment: Deployment,
     group: ProcessGroup,
     folder: pathlib.Path,
-    results: list[tuple[Fleet, Findings, float, list[str]]],
+    results: list[Judged],
 ) -> None:
     """Run one deployment and append its fleet, findings and problems."""
     fleet = Fleet(deployment, group=group, folder=folder)
@@ -55,7 +61,7 @@
         for m in fleet.members
         if m.process is not None and m.process.popen.returncode not in (0, -9)
     ]
-    results.append((fleet, findings, added, problems))
+    results.append((deployment.name, findings, added, problems))
 
 
 async def break_parts(fleet: Fleet) -> None:
@@ -126,7 +132,7 @@
 
 async def run() -> int:
     """Run the demonstration and return the exit status."""
-    results: list[tuple[Fleet, Findings, float, list[str]]] = []
+    results: list[Judged] = []
     with tempfile.TemporaryDirectory(prefix="hawthornmast-") as name:
         folder = pathlib.Path(name)
         group = ProcessGroup(folder)
@@ -136,17 +142,18 @@
                     nursery.start_soon(
                         run_deployment, deployment, group, folder, results
                     )
+            findings, problems = await AdapterRun(group, folder).run()
+            results.append(("adapter", findings, 0.0, problems))
         finally:
             with trio.CancelScope(shield=True):
                 await group.close()
     return report(results)
 
 
-def report(results: list[tuple[Fleet, Findings, float, list[str]]]) -> int:
+def report(results: list[Judged]) -> int:
     """Print the findings; return 0 when every promise held."""
-    held = len(results) == len(DEPLOYMENTS)
-    for fleet, findings, added, problems in results:
-        name = fleet.deployment.name
+    held = len(results) == len(DEPLOYMENTS) + 1
+    for name, findings, added, problems in results:
         print(f"{name}: {findings} p99_added_ms={added:.2f}")
         for problem in problems:
             print(f"{name}: {problem}")
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -1,5 +1,6 @@
 """Starts, signals and stops the processes of a demonstration."""
 
+from collections.abc import Mapping
 import os
 import pathlib
 import random
@@ -98,10 +99,23 @@
         self._folder = folder
         self._processes: list[Process] = []
 
-    def start(self, name: str, *arguments: str) -> Process:
-        """Start ``python -m`` with these arguments."""
+    def start(
+        self,
+        name: str,
+        *arguments: str,
+        variables: Mapping[str, str] | None = None,
+    ) -> Process:
+        """Start ``python -m`` with these arguments.
+
+        Parameters
+        ----------
+        variables
+            Environment variables besides those of this process.
+        """
         log = self._folder / f"{name}.log"
-        environment = dict(os.environ, PYTHONUNBUFFERED="1")
+        environment = dict(
+            os.environ, PYTHONUNBUFFERED="1", **(variables or {})
+        )
         with log.open("ab") as output:
             popen = subprocess.Popen(
                 [sys.executable, "-m", *arguments],
