--- /dev/null
+++ b/src/hawthornmast/gateway/tests/support.py
@@ -0,0 +1,117 @@
+"""What several tests of the gateway need."""
+
+import random
+
+from result import Err
+from result import Ok
+from result import Result
+import trio
+
+from hawthornmast.common import Instance
+from hawthornmast.common import StepError
+from hawthornmast.common import Upstream
+from hawthornmast.gateway.options import Bounds
+from hawthornmast.gateway.services import ServiceState
+from hawthornmast.gateway.services import ServiceStates
+from hawthornmast.membership.gossip import Gossip
+from hawthornmast.membership.listing import ListedUpstream
+from hawthornmast.membership.listing import Reading
+from hawthornmast.routing import Configuration
+from hawthornmast.routing import Route
+from hawthornmast.routing import ServiceOptions
+from hawthornmast.routing import Target
+
+
+def make_configuration(version: int = 1) -> Configuration:
+    """Return a configuration with the services ``boxes`` and ``billing``."""
+    routes = tuple(
+        Route(
+            name=f"{service}-route",
+            host=f"{service}.example",
+            prefix="/",
+            targets=(Target(service),),
+            idempotent=service == "boxes",
+            timeout_s=2.0,
+            target_latency_s=1.0,
+            max_attempts=2,
+        )
+        for service in ("boxes", "billing")
+    )
+    return Configuration(
+        version=version,
+        routes=routes,
+        services=(ServiceOptions(name="boxes", connections=77),),
+    )
+
+
+def make_entry(name: str, service: str = "boxes") -> ListedUpstream:
+    """Return a listed upstream."""
+    return ListedUpstream(
+        service=service,
+        upstream=Upstream(
+            upstream_id=name, zone="a", host="127.0.0.1", port=1, slots=2
+        ),
+    )
+
+
+def make_services(*entries: ListedUpstream) -> ServiceStates:
+    """Return services with a configuration and upstreams."""
+    services = ServiceStates(
+        lambda name: ServiceState(
+            name,
+            bounds=Bounds(retry_ratio=0.2, retry_slack=16.0),
+            zone="a",
+            random_source=random.Random(1),
+        )
+    )
+    services.apply_configuration(make_configuration())
+    services.apply_listing({e.upstream.upstream_id: e for e in entries})
+    return services
+
+
+def make_gossip(number: int = 1) -> Gossip:
+    """Return the membership of a daemon that knows no other."""
+    return Gossip(
+        instance=Instance(
+            instance_id=f"member-{number}",
+            zone="a",
+            host=f"127.0.0.{number}",
+            port=1,
+            peer_port=2,
+        ),
+        incarnation=number,
+        seeds=(),
+        clock=trio.current_time,
+        random_source=random.Random(1),
+    )
+
+
+class FakeSource:
+    """A platform whose answers are set by the test."""
+
+    def __init__(self) -> None:
+        self.configuration: Configuration | None = make_configuration()
+        self.reading = Reading(revision=5, entries=(make_entry("u1"),))
+        self.down = False
+        self.calls: list[str] = []
+
+    async def read_listing(
+        self, *, timeout_s: float
+    ) -> Result[Reading, StepError]:
+        """Return the reading."""
+        del timeout_s
+        self.calls.append("listing")
+        return self._answer(self.reading)
+
+    async def read_configuration(
+        self, *, timeout_s: float
+    ) -> Result[Configuration | None, StepError]:
+        """Return the configuration."""
+        del timeout_s
+        self.calls.append("configuration")
+        return self._answer(self.configuration)
+
+    def _answer(self, value):
+        if self.down:
+            return Err(StepError(step="read", detail="down"))
+        return Ok(value)
