Find members again that start after their time of day stepped back

A process takes its incarnation from the time of day. After a step back it started with a lower one than before, and the others ignored it for good. It is now told its former incarnation and takes a higher one. Found by reading; test_restart_after_the_time_of_day_stepped_back failed first.

--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -135,7 +135,6 @@
     ) -> None:
         self.options = options
         self.closing = False
-        self.started = trio.Event()
         self.incarnation = time.time_ns()
         self._random = random.Random(self.incarnation)
         self.metrics = GatewayMetrics()
@@ -182,6 +181,7 @@
             on_finished=self._report,
             on_bad_input=self._report_bad_input,
         )
+        self._watch_counts()
         self._nursery: trio.Nursery | None = None
         self._live: set[str] = set()
 
@@ -240,7 +240,6 @@
         await self.server.start(nursery, listener=listener)
         nursery.start_soon(self.sources.run)
         nursery.start_soon(self._tick)
-        self.started.set()
         log_event(
             _LOG,
             "started",
@@ -250,6 +249,29 @@
             seeds=len(self.options.seeds),
         )
 
+    def _watch_counts(self) -> None:
+        watch = self.metrics.watch
+        watch(
+            "hawthornmast_platform_calls",
+            "Calls of the platform.",
+            lambda: self.sources.calls,
+        )
+        watch(
+            "hawthornmast_platform_failures",
+            "Calls of the platform that failed.",
+            lambda: self.sources.failures,
+        )
+        watch(
+            "hawthornmast_datagram_bytes",
+            "Bytes of datagrams sent to other members.",
+            lambda: self.datagrams.sent_bytes,
+        )
+        watch(
+            "hawthornmast_live_members",
+            "Members that live and are ready.",
+            lambda: len(self.gossip.live()),
+        )
+
     async def drain(self) -> None:
         """Leave without cutting a request, within the grace time."""
         grace_s = self.options.bounds.grace_s
--- a/src/hawthornmast/gateway/metrics.py
+++ b/src/hawthornmast/gateway/metrics.py
@@ -1,5 +1,7 @@
 """Counters and histograms of one member."""
 
+from collections.abc import Callable
+
 import prometheus_client
 from prometheus_client import CollectorRegistry
 
@@ -59,10 +61,10 @@
         """Count refused input."""
         self._bad_input.labels(kind).inc()
 
-    def watch(self, name: str, text: str, read: "object") -> None:
+    def watch(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Show a number that another part keeps."""
         gauge = prometheus_client.Gauge(name, text, registry=self.registry)
-        gauge.set_function(read)  # type: ignore[arg-type]
+        gauge.set_function(read)
 
     def render(self) -> bytes:
         """Return all metrics as text."""
--- a/src/hawthornmast/membership/gossip.py
+++ b/src/hawthornmast/membership/gossip.py
@@ -228,6 +228,15 @@
         """
         now = self._clock()
         stranger = self.find(sender) is None
+        name, incarnation = rows[0][0], rows[0][7]
+        known = self._members.get(name)
+        if known is not None and incarnation < known.incarnation:
+            # It started again after its time of day stepped back; told of
+            # its former incarnation, it takes a higher one.
+            former = self._row(
+                known.instance, False, known.incarnation, age=0.0
+            )
+            return [Beat(host=sender, rows=[self._own_row(), former])]
         for index, row in enumerate(rows):
             self._apply(row, now, direct=index == 0)
         if not stranger:
@@ -241,6 +250,8 @@
             row
         )
         if name == self.instance.instance_id:
+            if incarnation > self.incarnation:
+                self.incarnation = incarnation + 1
             return
         heard = now if direct else now - float(age)
         member = self._members.get(name)
--- a/src/hawthornmast/membership/tests/test_gossip.py
+++ b/src/hawthornmast/membership/tests/test_gossip.py
@@ -26,7 +26,9 @@
         for host, zone in hosts:
             self.start(host, zone)
 
-    def start(self, host: str, zone: str) -> Gossip:
+    def start(
+        self, host: str, zone: str, *, incarnation: int | None = None
+    ) -> Gossip:
         """Start a daemon, or start it again."""
         self._incarnation += 1
         gossip = Gossip(
@@ -37,7 +39,9 @@
                 port=1,
                 peer_port=2,
             ),
-            incarnation=self._incarnation,
+            incarnation=(
+                self._incarnation if incarnation is None else incarnation
+            ),
             seeds=self.seeds,
             clock=lambda: self.now,
             random_source=random.Random(self._incarnation),
@@ -121,6 +125,17 @@
         everyone = set(network.daemons)
         assert all(view == everyone for view in network.views())
 
+    def test_restart_after_the_time_of_day_stepped_back(self) -> None:
+        # The new process takes its incarnation from the time of day, and
+        # was ignored for good when that was lower than before.
+        network = Network(zones=2, per_zone=3)
+        network.run(3.0)
+        host, gossip = next(iter(network.daemons.items()))
+        network.start(host, gossip.instance.zone, incarnation=0)
+        network.run(3.0)
+        everyone = set(network.daemons)
+        assert all(view == everyone for view in network.views())
+
     def test_finds_the_others_again_after_a_cut(self) -> None:
         network = Network(zones=3, per_zone=3)
         network.run(3.0)
@@ -166,13 +181,14 @@
         network = Network(zones=1, per_zone=2)
         network.run(2.0)
         first, second = network.daemons.values()
-        row = second.next_beats() and second._own_row()
-        stale = [*second._own_row()]
-        stale[7] = 0
-        stale[5] = True
-        first.receive([stale], second.instance.host)
-        assert row is not None
-        assert second.instance.host in {i.host for i in first.live()}
+        network.run(0.5)
+        (row,) = (
+            beat.rows[0]
+            for beat in second.leave()
+            if beat.host == first.instance.host
+        )
+        first.receive([[*row[:7], 0, 0.0]], second.instance.host)
+        assert second.instance.host in {item.host for item in first.live()}
 
     def test_alone_without_seeds_that_answer(self) -> None:
         network = Network(zones=1, per_zone=1)
--- a/src/hawthornmast/platform/process.py
+++ b/src/hawthornmast/platform/process.py
@@ -11,6 +11,7 @@
 from hawthornmast import http
 from hawthornmast.audit import log_event
 from hawthornmast.audit import open_bounded_log
+from hawthornmast.common import StepError
 from hawthornmast.gateway import GatewayMember
 from hawthornmast.platform import settings as settings_module
 from hawthornmast.platform.headers import ClientHeaders
@@ -38,15 +39,7 @@
     log = open_bounded_log(sys.stdout.fileno())
     loaded = settings_module.load_settings(path)
     if isinstance(loaded, Err):
-        error = loaded.err_value
-        log_event(
-            _LOG,
-            "start-failed",
-            level=logging.ERROR,
-            step=error.step,
-            detail=error.detail,
-            peer=error.peer,
-        )
+        _log_error("start-failed", loaded.err_value)
         log.close()
         return 2
     status = 0
@@ -113,14 +106,17 @@
     """Apply the settings that may change while the process runs."""
     loaded = settings_module.load_settings(path)
     if isinstance(loaded, Err):
-        error = loaded.err_value
-        log_event(
-            _LOG,
-            "reload-refused",
-            level=logging.WARNING,
-            step=error.step,
-            detail=error.detail,
-            peer=error.peer,
-        )
+        _log_error("reload-refused", loaded.err_value)
         return
     member.reload(loaded.ok_value.options)
+
+
+def _log_error(event: str, error: StepError) -> None:
+    log_event(
+        _LOG,
+        event,
+        level=logging.ERROR,
+        step=error.step,
+        detail=error.detail,
+        peer=error.peer,
+    )
--- a/src/hawthornmast/platform/settings.py
+++ b/src/hawthornmast/platform/settings.py
@@ -35,15 +35,12 @@
     ----------
     options
         Options of the member.
-    region
-        Region of this machine.
     store, ready, directory
         Addresses of the store, of the readiness page and of the answers with
         addresses; each a pair of host and port.
     """
 
     options: GatewayOptions
-    region: str
     store: tuple[str, int]
     ready: tuple[str, int]
     directory: tuple[str, int] | None
@@ -103,7 +100,6 @@
             connections=max(100, int(descriptors * CLIENT_SHARE)),
             bounds=_build_bounds(fields),
         ),
-        region=fields["Region"],
         store=parse_address(fields["Platform.Address"]),
         ready=parse_address(fields["Listen.Ready"]),
         directory=parse_address(directory) if directory else None,
