--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -26,6 +26,7 @@
 from hawthornmast.gateway.forwarder import RouteForwarder
 from hawthornmast.gateway.metrics import GatewayMetrics
 from hawthornmast.gateway.options import GatewayOptions
+from hawthornmast.gateway.services import divide_slack
 from hawthornmast.gateway.services import ServiceState
 from hawthornmast.gateway.services import ServiceStates
 from hawthornmast.gateway.sources import decode_news
@@ -184,6 +185,7 @@
         self._watch_counts()
         self._nursery: trio.Nursery | None = None
         self._live: set[str] = set()
+        self._started_at = trio.current_time()
 
     @property
     def configuration(self) -> Configuration | None:
@@ -318,8 +320,20 @@
             for beat in self.gossip.next_beats():
                 await self._send_beat(beat.host, beat.rows)
             self.evidence.tick()
+            slack = self._count_slack()
             for state in self.services:
-                state.tick()
+                state.tick(slack=slack)
+
+    def _count_slack(self) -> float:
+        told = self.owners(self.options.instance.zone)
+        own = self.options.instance.instance_id
+        return divide_slack(
+            self.options.bounds,
+            told=len(told),
+            is_told=any(item.instance_id == own for item in told),
+            live=len(self._live),
+            uptime_s=trio.current_time() - self._started_at,
+        )
 
     def _log_members(self) -> None:
         live = {item.instance_id for item in self.gossip.live()}
--- a/src/hawthornmast/gateway/services.py
+++ b/src/hawthornmast/gateway/services.py
@@ -23,13 +23,22 @@
 
 _LOG = logging.getLogger("hawthornmast.gateway.services")
 
+MOST_TOLD = 8
+"""Members that clients may be told, before the real number is known."""
+
 QUEUE_LIMIT = 2000
 """Requests that may wait for a service in one member; their deadlines bound
 the queue before this number does."""
 
-SLACK_PARTS = 8
-"""Members among which the fixed part of a retry budget is divided: those
-that clients are told, and as many again that take over from them."""
+TOLD_SLACK = 0.5
+"""Part of a retry budget's fixed number for the members that clients are
+told; as much again is left for those that take over from them."""
+
+OTHER_SLACK = 0.1
+"""Part of it for all other members."""
+
+START_SLACK = 0.3
+"""Part of its own part that a member has when it starts."""
 
 
 TRIAL_SHARE = 0.5
@@ -45,6 +54,35 @@
 silent."""
 
 
+def divide_slack(
+    bounds: Bounds, *, told: int, is_told: bool, live: int, uptime_s: float
+) -> float:
+    """Return the part of a retry budget's fixed number for one member.
+
+    It grows within a window after the start, since the process before may
+    have spent its part just now.
+
+    Parameters
+    ----------
+    bounds
+        Limits that the operators set.
+    told
+        Members that clients are told.
+    is_told
+        Whether this member is one of them.
+    live
+        All live members.
+    uptime_s
+        Seconds since this member started.
+    """
+    if is_told:
+        part = bounds.retry_slack * TOLD_SLACK / max(1, told)
+    else:
+        part = bounds.retry_slack * OTHER_SLACK / max(1, live)
+    age = min(1.0, uptime_s / bounds.retry_window_s)
+    return part * (START_SLACK + (1.0 - START_SLACK) * age)
+
+
 def make_entry(route: Route) -> Entry:
     """Return the catalogue entry by which a route's work is ranked."""
     return Entry(
@@ -85,7 +123,7 @@
         self.name = name
         self.budget = WindowBudget(
             ratio=bounds.retry_ratio,
-            slack=bounds.retry_slack / SLACK_PARTS,
+            slack=bounds.retry_slack * TOLD_SLACK * START_SLACK / MOST_TOLD,
             window_s=bounds.retry_window_s,
             clock=trio.current_time,
         )
@@ -122,8 +160,15 @@
             seen_by=peer or "self",
         )
 
-    def tick(self) -> None:
-        """Run what is due; called every few milliseconds."""
+    def tick(self, *, slack: float) -> None:
+        """Run what is due; called every few milliseconds.
+
+        Parameters
+        ----------
+        slack
+            This member's part of the retry budget's fixed number.
+        """
+        self.budget.slack = slack
         self.pool.silent_s = max(
             SILENT_S, SILENT_FACTOR * self.dispatcher.service_time
         )
--- a/src/hawthornmast/gateway/tests/test_services.py
+++ b/src/hawthornmast/gateway/tests/test_services.py
@@ -1,8 +1,11 @@
 """Services of the configuration in force."""
 
 import attrs
+import pytest
 
 from hawthornmast.common import State
+from hawthornmast.gateway.options import Bounds
+from hawthornmast.gateway.services import divide_slack
 from hawthornmast.gateway.tests.support import make_configuration
 from hawthornmast.gateway.tests.support import make_entry
 from hawthornmast.gateway.tests.support import make_services
@@ -57,3 +60,43 @@
         boxes = services.find("boxes")
         assert boxes is not None
         assert not boxes.pool.has_candidate()
+
+
+BOUNDS = Bounds(retry_ratio=0.2, retry_slack=56.0, retry_window_s=10.0)
+
+
+class TestDivideSlack:
+    """All members together spend no more than the fixed number."""
+
+    @pytest.mark.parametrize("live", [3, 32, 113])
+    def test_a_fleet_and_those_that_take_over(self, live: int) -> None:
+        # 32 members that each spent an eighth broke the budget of 56.
+        told = divide_slack(
+            BOUNDS, told=3, is_told=True, live=live, uptime_s=60.0
+        )
+        other = divide_slack(
+            BOUNDS, told=3, is_told=False, live=live, uptime_s=60.0
+        )
+        assert 5 * told + (live - 3) * other <= BOUNDS.retry_slack
+
+    def test_processes_that_restart_in_turn(self) -> None:
+        # One process every 2 s, each told to clients: what they spend within
+        # any window grows with their age only.
+        ages = [2.0, 4.0, 6.0, 8.0, 10.0]
+        spent = sum(
+            divide_slack(BOUNDS, told=3, is_told=True, live=32, uptime_s=age)
+            for age in ages
+        )
+        assert spent <= BOUNDS.retry_slack
+
+    def test_all_members_at_once(self) -> None:
+        # Those that were killed had spent their parts; the new ones add
+        # theirs within the same window.
+        before, after = (
+            3
+            * divide_slack(
+                BOUNDS, told=3, is_told=True, live=32, uptime_s=uptime
+            )
+            for uptime in (60.0, 8.0)
+        )
+        assert before + after <= BOUNDS.retry_slack
--- a/src/hawthornmast/limits/window.py
+++ b/src/hawthornmast/limits/window.py
@@ -3,7 +3,7 @@
 The owner of a service allows a number of retries per request within any span
 of a given length, plus a fixed number. Requests are counted by the daemon
 that received them, so each may spend the ratio of its own ones without
-asking. The fixed number is divided in advance.
+asking. The fixed number is divided among those who forward most of them.
 """
 
 from collections import deque
@@ -24,7 +24,7 @@
     ratio
         Retries allowed per request, from 0 to 1.
     slack
-        Retries allowed besides in any window.
+        Retries allowed besides in any window; may be set anew.
     window_s
         Length of the window in seconds.
     clock
@@ -45,7 +45,7 @@
                 f" window_s {window_s} above 0"
             )
         self._ratio = ratio
-        self._slack = slack
+        self.slack = slack
         self._window_s = window_s
         self._clock = clock
         # Start of the bucket, requests and retries in it.
@@ -78,7 +78,7 @@
         return True
 
     def _allowed(self) -> float:
-        return self._ratio * SAFETY * self._requests + self._slack
+        return self._ratio * SAFETY * self._requests + self.slack
 
     def _bucket(self) -> list[float]:
         now = self._clock()
