--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -49,9 +49,6 @@
 """Part of the mean time of a route's answers after which a failure is taken
 as the request's own rather than its upstream's."""
 
-SMOOTHING = 0.05
-"""Weight of the newest answer in the mean time of a route's answers."""
-
 FAIR_SHARE = 0.5
 """Part of a route's time after which an unanswered request counts against
 its upstream."""
@@ -119,7 +116,6 @@
         self._evidence = evidence
         self._clock = clock
         self._splits = SplitBalancer()
-        self._answer_s: dict[str, float] = {}
 
     def forget_splits(self) -> None:
         """Apply new weights from the next request on."""
@@ -233,7 +229,7 @@
             run.state.pool.note_answer(upstream.upstream_id)
             spent_s = self._clock() - began
             if exchange.status < 300:
-                self._note_time(run.route.name, spent_s)
+                run.state.note_answer_time(run.route.name, spent_s)
             return await self._after_response(run, upstream, exchange, spent_s)
         except trio.Cancelled:
             self._judge_cancelled(run, upstream, began)
@@ -245,10 +241,6 @@
             )
             admission.release()
 
-    def _note_time(self, route: str, seconds: float) -> None:
-        known = self._answer_s.get(route, seconds)
-        self._answer_s[route] = known + SMOOTHING * (seconds - known)
-
     def _build_request(self, run: _Run, upstream: Upstream) -> UpstreamRequest:
         request = run.request
         left_s = run.deadline - self._clock()
@@ -275,7 +267,7 @@
             if verdict.not_run:
                 return self._after_rejection(run, upstream)
             failed = not own or exchange.status >= 500
-            mean_s = self._answer_s.get(run.route.name, math.inf)
+            mean_s = run.state.answer_time(run.route.name)
             self._note(
                 run,
                 upstream,
--- a/src/hawthornmast/gateway/services.py
+++ b/src/hawthornmast/gateway/services.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import logging
+import math
 import random
 
 import attrs
@@ -50,8 +51,11 @@
 
 
 SILENT_FACTOR = 4.0
-"""Mean service times without any answer after which an upstream counts as
-silent."""
+"""Mean times of the slowest route's answers, without any answer, after which
+an upstream counts as silent."""
+
+SMOOTHING = 0.05
+"""Weight of the newest answer in the mean time of a route's answers."""
 
 
 def divide_slack(
@@ -134,6 +138,7 @@
             may_try=lambda: self.budget.share() >= TRIAL_SHARE,
             on_change=self._log_change,
         )
+        self._answer_s: dict[str, float] = {}
         self.dispatcher = Dispatcher(
             Service(name=name, owner="", queue_limit=QUEUE_LIMIT, entries=()),
             self.pool,
@@ -147,6 +152,22 @@
         self.pool.update(upstreams)
         self.dispatcher.kick()
 
+    def answer_time(self, route: str) -> float:
+        """Return the mean seconds of a route's successful answers."""
+        return self._answer_s.get(route, math.inf)
+
+    def note_answer_time(self, route: str, seconds: float) -> None:
+        """Count the time of a successful answer.
+
+        Failures are left out: those that come within milliseconds would
+        make an upstream look silent that only works on long requests.
+        """
+        known = self._answer_s.get(route, seconds)
+        self._answer_s[route] = known + SMOOTHING * (seconds - known)
+        self.pool.silent_s = max(
+            SILENT_S, SILENT_FACTOR * max(self._answer_s.values())
+        )
+
     def _log_change(
         self, change: str, upstream_id: str, likely: float, peer: str
     ) -> None:
@@ -169,9 +190,6 @@
             This member's part of the retry budget's fixed number.
         """
         self.budget.slack = slack
-        self.pool.silent_s = max(
-            SILENT_S, SILENT_FACTOR * self.dispatcher.service_time
-        )
         if self.dispatcher.count_waiting():
             # Beliefs change with time alone.
             self.dispatcher.kick()
--- a/src/hawthornmast/gateway/tests/test_services.py
+++ b/src/hawthornmast/gateway/tests/test_services.py
@@ -61,6 +61,22 @@
         assert boxes is not None
         assert not boxes.pool.has_candidate()
 
+    async def test_failures_do_not_make_long_work_look_silent(self) -> None:
+        # With most upstreams failing within milliseconds, the only sound one
+        # was passed over while it worked on long requests.
+        services = make_services(make_entry("u1"))
+        boxes = services.find("boxes")
+        assert boxes is not None
+        for _ in range(20):
+            boxes.note_answer_time("boxes-route", 1.8)
+        for _ in range(200):
+            admitted = await boxes.dispatcher.admit(
+                services.entry(make_configuration().routes[0]), deadline=1e9
+            )
+            admitted.unwrap().release()
+        boxes.tick(slack=0.0)
+        assert boxes.pool.silent_s > 3 * 1.8
+
 
 BOUNDS = Bounds(retry_ratio=0.2, retry_slack=56.0, retry_window_s=10.0)
 
--- a/src/hawthornmast/limits/dispatcher.py
+++ b/src/hawthornmast/limits/dispatcher.py
@@ -164,11 +164,6 @@
         self._closed = False
         self._dispatching = False
 
-    @property
-    def service_time(self) -> float:
-        """Mean seconds that recent requests held their slots."""
-        return self._service_time
-
     async def admit(
         self,
         entry: Entry,
