--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -13,6 +13,7 @@
 from hawthornmast import http
 from hawthornmast.audit import log_event
 from hawthornmast.common import Instance
+from hawthornmast.common import State
 from hawthornmast.forwarding import ClientLimits
 from hawthornmast.forwarding import ConnectionServer
 from hawthornmast.forwarding import Dialect
@@ -185,6 +186,7 @@
         self._watch_counts()
         self._nursery: trio.Nursery | None = None
         self._live: set[str] = set()
+        self._staying: set[str] = set()
         self._started_at = trio.current_time()
 
     @property
@@ -420,13 +422,21 @@
 
     def _apply_listing(self, origin: str) -> None:
         entries = self.listing.entries
+        staying = {
+            key
+            for key, item in entries.items()
+            if item.upstream.state is State.LIVE
+        }
         log_event(
             _LOG,
             "upstreams-in-force",
             revision=self.listing.revision,
             listed=len(entries),
+            came=",".join(sorted(staying - self._staying)) or "-",
+            left=",".join(sorted(self._staying - staying)) or "-",
             origin=origin,
         )
+        self._staying = staying
         self.services.apply_listing(entries)
         self._note_informed()
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -226,10 +226,14 @@
 class TestListing:
     """Back ends are used as the store lists them."""
 
-    async def test_draining_back_end_gets_nothing_new(self) -> None:
+    async def test_draining_back_end_gets_nothing_new(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        caplog.set_level("INFO")
         async with deploy(boxes=2) as deployment:
             deployment.list_backend("boxes-0", "boxes", State="draining")
             await trio.sleep(0.8)
+            assert "came=- left=boxes-0 origin=platform" in caplog.text
             before = len(deployment.backends["boxes-0"].log)
             for _ in range(8):
                 assert (await deployment.send("GET", "/read/1")).status == 200
