--- a/benchmarks/overload_model.py
+++ b/benchmarks/overload_model.py
@@ -17,7 +17,7 @@
 from hawthornmast.limits import RetryBudget
 from hawthornmast.limits import SlotAllocator
 from hawthornmast.limits import UpstreamPool
-from hawthornmast.limits.dispatcher import Waiter
+from hawthornmast.limits.waiting import Waiter
 
 NAMES = ("d0", "d1", "d2")
 SERVICE_S = 0.1
--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -1,6 +1,5 @@
 """One member, assembled."""
 
-from collections.abc import Callable
 import logging
 import random
 import socket
@@ -15,7 +14,6 @@
 from hawthornmast.common import Instance
 from hawthornmast.common import State
 from hawthornmast.forwarding import ClientLimits
-from hawthornmast.forwarding import ConnectionServer
 from hawthornmast.forwarding import Dialect
 from hawthornmast.forwarding import UpstreamClient
 from hawthornmast.forwarding.messages import Answer
@@ -27,6 +25,7 @@
 from hawthornmast.gateway.forwarder import RouteForwarder
 from hawthornmast.gateway.metrics import GatewayMetrics
 from hawthornmast.gateway.options import GatewayOptions
+from hawthornmast.gateway.server import GatewayServer
 from hawthornmast.gateway.services import divide_slack
 from hawthornmast.gateway.services import ServiceState
 from hawthornmast.gateway.services import ServiceStates
@@ -52,12 +51,6 @@
 """Seconds within which an upstream's connection is established. A lost
 opening packet is repeated by the kernel after 1 s, by a new try at once."""
 
-START_SHARE = 0.3
-"""Part of a client's time that a request waits while its member starts."""
-
-DEFAULT_WAIT_S = 2.0
-"""Time of a client that did not say how long it waits."""
-
 ACCEPT_SHARE = 0.5
 """Part of the grace time after SIGTERM in which connections are accepted."""
 
@@ -73,47 +66,6 @@
 of each upstream and order more requests by rank."""
 
 
-class GatewayServer(ConnectionServer):
-    """Serves clients of a member."""
-
-    def __init__(
-        self,
-        forwarder: RouteForwarder,
-        dialect: Dialect,
-        upstreams: UpstreamClient,
-        *,
-        host: str,
-        port: int,
-        limits: ClientLimits,
-        on_finished: Callable[[ClientRequest, Trace, Answer], None],
-        on_bad_input: Callable[[str], None],
-    ) -> None:
-        super().__init__(
-            forwarder,
-            dialect,
-            upstreams,
-            host=host,
-            port=port,
-            limits=limits,
-            on_bad_input=on_bad_input,
-        )
-        self._on_finished = on_finished
-        self.informed = trio.Event()
-
-    async def prepare(self, request: ClientRequest) -> None:
-        """Wait for what a request needs while the member starts."""
-        if not self.informed.is_set():
-            allowed_s = request.timeout_s or DEFAULT_WAIT_S
-            with trio.move_on_after(allowed_s * START_SHARE):
-                await self.informed.wait()
-
-    def report(
-        self, request: ClientRequest, trace: Trace, answer: Answer
-    ) -> None:
-        """Report a finished request."""
-        self._on_finished(request, trace, answer)
-
-
 class GatewayMember:
     """A member of the fleet on a platform that is only read.
 
