Find a route once, and compute the told members once a tick

The forwarder looked a request's route up twice, the evidence exchange repeated the belief's rule on old successes, and each tick and each report computed the told members anew.

--- a/src/hawthornmast/gateway/evidence.py
+++ b/src/hawthornmast/gateway/evidence.py
@@ -50,15 +50,10 @@
     ) -> None:
         """Apply what a request showed here, and report it."""
         state = self._services.find(service)
-        if state is not None:
-            member = state.pool.members.get(upstream_id)
-            if (
-                member is not None
-                and sign is Sign.SUCCEEDED
-                and sent_at < member.belief.failed_at
-            ):
-                return
-            state.pool.note_sign(upstream_id, sign, sent_at=sent_at)
+        if state is None or not state.pool.note_sign(
+            upstream_id, sign, sent_at=sent_at
+        ):
+            return
         counts = self._outcomes.setdefault(
             (service, upstream_id), [0] * len(Sign)
         )
--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -6,6 +6,8 @@
 
 import attrs
 from result import Err
+from result import Ok
+from result import Result
 import trio
 
 from hawthornmast.catalogue import Entry
@@ -123,14 +125,23 @@
 
     def check(self, request: ClientRequest) -> Answer | None:
         """Return the refusal of a request that needs no body to decide."""
+        return self._find_route(request).err()
+
+    def _find_route(
+        self, request: ClientRequest
+    ) -> Result[tuple[Route, int], Answer]:
+        """Return the route of a request and the version that states it."""
         configuration = self._view.configuration
         if configuration is None:
-            return refuse(
-                503, "no-configuration", retry_after=LEAST_RETRY_AFTER_S
+            return Err(
+                refuse(
+                    503, "no-configuration", retry_after=LEAST_RETRY_AFTER_S
+                )
             )
-        if configuration.find_route(request.service, request.target) is None:
-            return refuse(404, "no-route", detail=request.service)
-        return None
+        route = configuration.find_route(request.service, request.target)
+        if route is None:
+            return Err(refuse(404, "no-route", detail=request.service))
+        return Ok((route, configuration.version))
 
     async def run(
         self,
@@ -140,14 +151,10 @@
         deliver: Deliver,
     ) -> Answer:
         """Run a request and return its answer."""
-        refused = self.check(request)
-        configuration = self._view.configuration
-        if refused is not None or configuration is None:
-            assert refused is not None
-            return refused
-        trace.revision = configuration.version
-        route = configuration.find_route(request.service, request.target)
-        assert route is not None
+        found = self._find_route(request)
+        if isinstance(found, Err):
+            return found.err_value
+        route, trace.revision = found.ok_value
         name = self._splits.select(route)
         trace.entry, trace.rank = route.name, route.rank.label
         trace.owner = name
--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -137,7 +137,10 @@
         )
         self._watch_counts()
         self._nursery: trio.Nursery | None = None
+        # Members that live and those that clients are told, as of the last
+        # tick.
         self._live: set[str] = set()
+        self._told: list[Instance] = []
         self._staying: set[str] = set()
         self._started_at = trio.current_time()
 
@@ -270,7 +273,7 @@
         while True:
             await trio.sleep(TICK_S if self.server.busy else IDLE_TICK_S)
             self.gossip.ready = self.ready
-            self._log_members()
+            self._update_members()
             for beat in self.gossip.next_beats():
                 await self._send_beat(beat.host, beat.rows)
             self.evidence.tick()
@@ -279,17 +282,17 @@
                 state.tick(slack=slack)
 
     def _count_slack(self) -> float:
-        told = self.owners(self.options.instance.zone)
         own = self.options.instance.instance_id
         return divide_slack(
             self.options.bounds,
-            told=len(told),
-            is_told=any(item.instance_id == own for item in told),
+            told=len(self._told),
+            is_told=any(item.instance_id == own for item in self._told),
             live=len(self._live),
             uptime_s=trio.current_time() - self._started_at,
         )
 
-    def _log_members(self) -> None:
+    def _update_members(self) -> None:
+        self._told = self.owners(self.options.instance.zone)
         live = {item.instance_id for item in self.gossip.live()}
         if live == self._live:
             return
@@ -299,11 +302,7 @@
             live=len(live),
             found=",".join(sorted(live - self._live)) or "-",
             lost=",".join(sorted(self._live - live)) or "-",
-            told=",".join(
-                item.instance_id
-                for item in self.owners(self.options.instance.zone)
-            )
-            or "-",
+            told=",".join(item.instance_id for item in self._told) or "-",
         )
         self._live = live
 
@@ -336,10 +335,10 @@
     def _send_evidence(self, rows: list[Any]) -> None:
         assert self._nursery is not None
         own = self.options.instance.instance_id
-        for owner in self.owners(self.options.instance.zone):
-            if owner.instance_id != own:
+        for told in self._told:
+            if told.instance_id != own:
                 self._nursery.start_soon(
-                    self.datagrams.send, owner.host, Kind.EVIDENCE, rows
+                    self.datagrams.send, told.host, Kind.EVIDENCE, rows
                 )
 
     def _make_service(self, name: str) -> ServiceState:
--- a/src/hawthornmast/health/belief.py
+++ b/src/hawthornmast/health/belief.py
@@ -102,8 +102,8 @@
         """Return the probability at a time."""
         return self._model.drift(self._probability, now - self._at)
 
-    def note(self, now: float, sign: Sign, *, sent_at: float) -> None:
-        """Apply what one request showed.
+    def note(self, now: float, sign: Sign, *, sent_at: float) -> bool:
+        """Apply what one request showed; tell whether it counts.
 
         Parameters
         ----------
@@ -112,8 +112,9 @@
             before the last failure tells nothing of the time after it.
         """
         if sign is Sign.SUCCEEDED and sent_at < self.failed_at:
-            return
+            return False
         self._probability = self._model.update(self.at(now), sign)
         self._at = now
         if sign is not Sign.SUCCEEDED:
             self.failed_at = now
+        return True
--- a/src/hawthornmast/limits/shared.py
+++ b/src/hawthornmast/limits/shared.py
@@ -252,16 +252,21 @@
 
     def note_sign(
         self, upstream_id: str, sign: Sign, *, sent_at: float, peer: str = ""
-    ) -> None:
-        """Apply what a request of this or of another daemon showed."""
+    ) -> bool:
+        """Apply what a request of this or of another daemon showed.
+
+        Returns whether it counts as evidence.
+        """
         member = self.members.get(upstream_id)
         if member is None:
-            return
-        member.belief.note(self._clock(), sign, sent_at=sent_at)
+            return False
+        if not member.belief.note(self._clock(), sign, sent_at=sent_at):
+            return False
         avoided = member.belief.at(self._clock()) > MOST_LIKELY
         if avoided != member.avoided:
             member.avoided = avoided
             self._tell("avoided" if avoided else "trusted", member, peer)
+        return True
 
     def note_answer(self, upstream_id: str) -> None:
         """Note that an upstream answered this daemon."""
