--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -277,16 +277,17 @@
             for beat in self.gossip.next_beats():
                 await self._send_beat(beat.host, beat.rows)
             self.evidence.tick()
-            slack = self._count_slack()
+            own = self.options.instance.instance_id
+            is_told = any(item.instance_id == own for item in self._told)
+            slack = self._count_slack(is_told)
             for state in self.services:
-                state.tick(slack=slack)
+                state.tick(slack=slack, is_told=is_told)
 
-    def _count_slack(self) -> float:
-        own = self.options.instance.instance_id
+    def _count_slack(self, is_told: bool) -> float:
         return divide_slack(
             self.options.bounds,
             told=len(self._told),
-            is_told=any(item.instance_id == own for item in self._told),
+            is_told=is_told,
             zones=len({item.zone for item in self._told}),
             zone_live=len(self.gossip.mates()) + 1,
             uptime_s=trio.current_time() - self._started_at,
--- a/src/hawthornmast/gateway/services.py
+++ b/src/hawthornmast/gateway/services.py
@@ -190,15 +190,19 @@
             seen_by=peer or "self",
         )
 
-    def tick(self, *, slack: float) -> None:
+    def tick(self, *, slack: float, is_told: bool) -> None:
         """Run what is due; called every few milliseconds.
 
         Parameters
         ----------
         slack
             This member's part of the retry budget's fixed number.
+        is_told
+            Whether clients are told this member, so that it gets most of
+            the requests of its zone.
         """
         self.budget.slack = slack
+        self.pool.explores = is_told
         if self.dispatcher.count_waiting():
             # Beliefs change with time alone.
             self.dispatcher.kick()
--- a/src/hawthornmast/gateway/tests/test_services.py
+++ b/src/hawthornmast/gateway/tests/test_services.py
@@ -74,7 +74,7 @@
                 services.entry(make_configuration().routes[0]), deadline=1e9
             )
             admitted.unwrap().release()
-        boxes.tick(slack=0.0)
+        boxes.tick(slack=0.0, is_told=True)
         assert boxes.pool.silent_s > 3 * 1.8
 
 
--- a/src/hawthornmast/limits/shared.py
+++ b/src/hawthornmast/limits/shared.py
@@ -93,6 +93,11 @@
 class SharedPool:
     """Selects the upstream that is the least likely to fail a request.
 
+    While ``explores`` is set, a part of the requests goes to upstreams of
+    which nothing is known or that may work again. Daemons that get few
+    requests leave that to the others, since each upstream that they try
+    costs a connection.
+
     Parameters
     ----------
     clock
@@ -126,6 +131,7 @@
         self._on_change = on_change
         self.members: dict[str, PoolMember] = {}
         self.silent_s = SILENT_S
+        self.explores = True
         self._served: list[tuple[float, bool]] = []
 
     def update(self, upstreams: Iterable[Upstream]) -> None:
@@ -167,11 +173,13 @@
             Share of its time that the request has left, from 1 to 0.
         """
         now = self._clock()
-        trial = repeatable and not exclude and self._may_try()
+        trial = (
+            self.explores and repeatable and not exclude and self._may_try()
+        )
         limit = MOST_LIKELY + (1.0 - MOST_LIKELY) * min(
             1.0, 2.0 * (1.0 - patience)
         )
-        spread = self._must_spread(now)
+        spread = self.explores and self._must_spread(now)
         best: PoolMember | None = None
         best_cost = 1e9
         for key, member in self.members.items():
@@ -198,7 +206,7 @@
                 cost -= 2.0
             elif likely > limit:
                 continue
-            if member.sent_at < 0.0:
+            if self.explores and member.sent_at < 0.0:
                 # Nothing is known of a new upstream until it gets work.
                 cost -= 1.0
             if (
--- a/src/hawthornmast/limits/tests/test_shared.py
+++ b/src/hawthornmast/limits/tests/test_shared.py
@@ -84,6 +84,23 @@
         taken = fixture.pool.take(repeatable=False)
         assert taken is not None and taken.upstream_id == "u3"
 
+    def test_stays_with_one_upstream_unless_it_explores(self) -> None:
+        # 29 members that clients weren't told opened two thirds of all
+        # connections to upstreams, for a few requests a second each.
+        fixture = Fixture(*(make_upstream(f"u{n}") for n in range(6)))
+        fixture.pool.explores = False
+        used = set()
+        for _ in range(20):
+            taken = fixture.pool.take()
+            assert taken is not None
+            used.add(taken.upstream_id)
+            fixture.pool.note_sign(
+                taken.upstream_id, Sign.SUCCEEDED, sent_at=200.0
+            )
+            fixture.pool.release(taken.upstream_id)
+            fixture.clock.now += 0.6
+        assert len(used) == 1
+
     def test_work_that_cannot_be_repeated_avoids_failing_ones(self) -> None:
         fixture = Fixture(make_upstream("u1"), make_upstream("u2"))
         fixture.touch_all()
