Compute the living members ten times a second, not with each question

Cause: whether one member lives depends on the period of beats, which counted all members each time, so that each of eight questions a tick cost the square of the fleet's size.

A member that an indirect report named in its new incarnation counted as met and was not told its zone; the test fails without the change.

--- a/src/hawthornmast/membership/gossip.py
+++ b/src/hawthornmast/membership/gossip.py
@@ -43,6 +43,10 @@
 """Daemons of a zone of which other zones are told, the first in duty order:
 the one with the duties and those that would follow it."""
 
+VIEW_S = 0.1
+"""Seconds for which a list of living daemons is reused; one that is found or
+leaves ends it at once."""
+
 ZONE_ROWS = 2
 """Daemons of its own zone that a speaker tells the zone with each beat, in
 turns."""
@@ -109,6 +113,11 @@
         Monotonic time in seconds.
     random_source
         Source of the choice of daemons to try.
+
+    Attributes
+    ----------
+    period_s
+        Seconds between two beats to the same daemon.
     """
 
     def __init__(
@@ -124,33 +133,24 @@
         self.incarnation = incarnation
         self.seeds = tuple(seeds)
         self.ready = False
+        self.period_s = BEAT_S
         self._clock = clock
         self._random = random_source
         self._members: dict[str, Member] = {}
+        # Living members and the time up to which the list holds.
+        self._found: list[Member] = []
+        self._found_until = -math.inf
         self._beat_at = 0.0
         self._seed_at = 0.0
         self._started_at = clock()
         self._zone_place = 0
 
-    @property
-    def period_s(self) -> float:
-        """Seconds between two beats to the same daemon."""
-        mates = sum(
-            member.instance.zone == self.instance.zone
-            for member in self._members.values()
-        )
-        return max(BEAT_S, mates / BEATS_PER_S)
-
     def live(self) -> list[Instance]:
         """Return the daemons that live and stay, this one included.
 
         They are all of this zone and the first of each other zone.
         """
-        found = [
-            member.instance
-            for member in self._members.values()
-            if self._lives(member) and member.ready
-        ]
+        found = [item.instance for item in self._living() if item.ready]
         if self.ready and self.instance.state is State.LIVE:
             found.append(self.instance)
         return found
@@ -159,18 +159,16 @@
         """Return the other living daemons of the zone."""
         return [
             member.instance
-            for member in self._members.values()
+            for member in self._living()
             if member.instance.zone == self.instance.zone
-            and self._lives(member)
         ]
 
     def others(self) -> list[Instance]:
         """Return the living daemons of other zones."""
         return [
             member.instance
-            for member in self._members.values()
+            for member in self._living()
             if member.instance.zone != self.instance.zone
-            and self._lives(member)
         ]
 
     def find(self, host: str) -> Instance | None:
@@ -224,6 +222,11 @@
         now = self._clock()
         if now < self._beat_at:
             return []
+        mates = sum(
+            member.instance.zone == self.instance.zone
+            for member in self._members.values()
+        )
+        self.period_s = max(BEAT_S, mates / BEATS_PER_S)
         self._beat_at = now + self.period_s
         speaker = self.is_speaker()
         own = [self._own_row()]
@@ -249,8 +252,7 @@
         rows = [self._own_row()]
         return [
             Beat(host=member.instance.host, rows=rows)
-            for member in self._members.values()
-            if self._lives(member)
+            for member in self._living()
         ]
 
     def receive(self, rows: list[Row], sender: str) -> list[Beat]:
@@ -342,9 +344,13 @@
                 ready=bool(ready),
                 heard_at=heard,
             )
+            self._found_until = -math.inf
             return
+        if member.instance != instance or not self._lives(member):
+            self._found_until = -math.inf
         if incarnation > member.incarnation:
             member.incarnation = incarnation
+            member.met = False
             member.heard_at = heard
         elif heard < member.heard_at:
             return
@@ -355,6 +361,18 @@
         member.ready = bool(ready)
         member.heard_at = heard
 
+    def _living(self) -> list[Member]:
+        """Return the members that live, up to ``VIEW_S`` ago."""
+        now = self._clock()
+        if now >= self._found_until:
+            self._found = [
+                member
+                for member in self._members.values()
+                if self._lives(member)
+            ]
+            self._found_until = now + VIEW_S
+        return self._found
+
     def _lives(self, member: Member) -> bool:
         age = self._clock() - member.heard_at
         limit = LOST_BEATS * self.period_s
--- a/src/hawthornmast/membership/tests/test_gossip.py
+++ b/src/hawthornmast/membership/tests/test_gossip.py
@@ -186,6 +186,23 @@
         everyone = set(network.daemons)
         assert all(view == everyone for view in network.views())
 
+    def test_restarted_daemon_learns_its_zone_from_the_first_it_meets(
+        self,
+    ) -> None:
+        # Reports of others came first, so that it counted as known and was
+        # told nothing.
+        network = Network(zones=2, per_zone=5)
+        network.run(3.0)
+        first, second, third, *_ = network.daemons.values()
+        started = network.start(second.instance.host, second.instance.zone)
+        (row, *_) = started.next_beats()[0].rows
+        of_third = [third.instance.instance_id, *row[1:2]]
+        of_third += [third.instance.host, *row[3:7], third.incarnation, 0.0]
+        first.receive([[*of_third, 1.0], row], third.instance.host)
+        (answer,) = first.receive([row], second.instance.host)
+        names = {told[0] for told in answer.rows}
+        assert {f"d-10.0.0.{n}" for n in (0, 2, 3, 4)} <= names
+
     def test_restart_after_the_time_of_day_stepped_back(self) -> None:
         # The new process takes its incarnation from the time of day, and
         # was ignored for good when that was lower than before.
