Compress the configuration that members pass on, once a version

Cause: a configuration of 1,400 routes, which the grown sites reach, takes 160 KB as it was sent, encoded anew for each member that asked. 15 of them at once exceed the time of a pull when a machine with a link of 5 Mbit/s hands it out. Compressed it fits; the new test fails without the change.

--- a/src/hawthornmast/gateway/sources.py
+++ b/src/hawthornmast/gateway/sources.py
@@ -16,6 +16,7 @@
 import random
 from typing import Any
 from typing import Protocol
+import zlib
 
 import attrs
 import msgpack
@@ -68,6 +69,24 @@
 SNAPSHOT_PATH = "/v1/snapshot"
 PULL_TIMEOUT_S = 1.0
 
+MAX_CONFIGURATION_BYTES = 16_777_216
+"""Longest configuration of a peer, uncompressed."""
+
+
+def _decompress(data: bytes) -> Any:
+    """Return what a peer compressed.
+
+    Raises ValueError or ``zlib.error`` for anything else.
+    """
+    stream = zlib.decompressobj()
+    packed = stream.decompress(data, MAX_CONFIGURATION_BYTES)
+    if not stream.eof:
+        raise ValueError(
+            f"a configuration is cut or has over {MAX_CONFIGURATION_BYTES}"
+            " bytes"
+        )
+    return msgpack.unpackb(packed)
+
 
 class Source(Protocol):
     """The platform as it is read."""
@@ -167,6 +186,8 @@
         self._reachable = True
         self._pulling = False
         self._pull_at = 0.0
+        # Version and bytes of the last configuration that a peer asked for.
+        self._compressed = (0, b"")
         self.configuration: Configuration | None = None
         self.calls = 0
         self.failures = 0
@@ -222,15 +243,21 @@
 
     def encode_snapshot(self, version: int) -> bytes:
         """Return what this member has for one that has a version."""
-        configuration = self.configuration
-        encoded = None
-        if configuration is not None and configuration.version > version:
-            encoded = encode_configuration(configuration)
+        encoded = self._compress() if self.version > version else None
         age = trio.current_time() - self._listing.confirmed_at
         listed = self._listing.encode() if self._listing.known else None
         packed: bytes = msgpack.packb([encoded, listed, min(age, 1e6)])
         return packed
 
+    def _compress(self) -> bytes:
+        """Return the configuration in force, compressed once a version."""
+        configuration = self.configuration
+        assert configuration is not None
+        if self._compressed[0] != configuration.version:
+            packed = msgpack.packb(encode_configuration(configuration))
+            self._compressed = configuration.version, zlib.compress(packed, 1)
+        return self._compressed[1]
+
     def accept(self, configuration: Configuration, origin: str) -> bool:
         """Put a configuration in force unless it is old."""
         if configuration.version <= self.version:
@@ -332,7 +359,8 @@
         try:
             encoded, listed, age = msgpack.unpackb(body)
             if encoded is not None:
-                self.accept(decode_configuration(encoded), peer.instance_id)
+                configuration = decode_configuration(_decompress(encoded))
+                self.accept(configuration, peer.instance_id)
             confirmed = now - float(age)
             if listed is not None and confirmed > listing.confirmed_at:
                 changed = listing.adopt(listed)
@@ -340,7 +368,13 @@
                     listing.confirmed_at = confirmed
                 if changed:
                     self._on_listing(peer.instance_id)
-        except (ValueError, TypeError, IndexError, msgpack.UnpackException):
+        except (
+            ValueError,
+            TypeError,
+            IndexError,
+            zlib.error,
+            msgpack.UnpackException,
+        ):
             log_event(
                 _LOG,
                 "snapshot-refused",
--- a/src/hawthornmast/gateway/tests/test_sources.py
+++ b/src/hawthornmast/gateway/tests/test_sources.py
@@ -1,12 +1,17 @@
 """Reading of the platform, on trio's test clock."""
 
 import random
+import zlib
 
+import attrs
+import msgpack
 import pytest
 import trio
 
 from hawthornmast.gateway.sources import decode_news
+from hawthornmast.gateway.sources import MAX_CONFIGURATION_BYTES
 from hawthornmast.gateway.sources import News
+from hawthornmast.gateway.sources import PULL_TIMEOUT_S
 from hawthornmast.gateway.sources import Sources
 from hawthornmast.gateway.tests.support import FakeSource
 from hawthornmast.gateway.tests.support import make_configuration
@@ -15,6 +20,9 @@
 from hawthornmast.membership.listing import Reading
 from hawthornmast.membership.listing import UpstreamListing
 
+SMALLEST_LINK_BYTES_S = 5e6 / 8
+BOMB = zlib.compress(bytes(MAX_CONFIGURATION_BYTES + 1))
+
 
 class Reader:
     """A member that reads a platform set by the test."""
@@ -143,8 +151,42 @@
         whole = reader.sources.encode_snapshot(0)
         assert len(reader.sources.encode_snapshot(1)) < len(whole)
 
+    async def test_large_configuration_passes_a_small_link(
+        self, reader: Reader
+    ) -> None:
+        # 1,400 routes took 160 KB, and a small machine that handed them to
+        # 15 members of its zone at once exceeded the time of a pull.
+        names = random.Random(1)
+        (route, _) = make_configuration().routes
+        routes = tuple(
+            attrs.evolve(
+                route,
+                name=f"r-{names.getrandbits(35):07x}",
+                host=f"{names.getrandbits(20):05x}.example",
+                prefix=f"/{names.getrandbits(24):06x}/",
+            )
+            for _ in range(1400)
+        )
+        large = attrs.evolve(make_configuration(2), routes=routes)
+        reader.sources.accept(large, "test")
+        body = reader.sources.encode_snapshot(0)
+        assert 15 * len(body) <= SMALLEST_LINK_BYTES_S * PULL_TIMEOUT_S
+        other = Reader()
+        other.sources._adopt(body, make_gossip(2).instance)
+        assert other.sources.configuration == large
+
     @pytest.mark.parametrize(
-        "body", [b"", b"\xc1", b"\x93\xc0\xc0", b"\x93\x01\x02\x03"]
+        "body",
+        [
+            b"",
+            b"\xc1",
+            b"\x93\xc0\xc0",
+            b"\x93\x01\x02\x03",
+            msgpack.packb([b"not compressed", None, 0.0]),
+            msgpack.packb([zlib.compress(b"\x90")[:-2], None, 0.0]),
+            msgpack.packb([BOMB, None, 0.0]),
+        ],
+        ids=["empty", "invalid", "short", "numbers", "plain", "cut", "bomb"],
     )
     async def test_malformed_snapshot_changes_nothing(
         self, reader: Reader, body: bytes
