Send datagrams without waiting, and compute duties only when members change

Cause: a member that does nothing but beat used 12.8 ms of processor time a second in a profile of 32 members in one process. Each datagram was encoded for each receiver and sent through the event loop, each received one woke it, and the order of duties was computed at each of 20 to 30 ticks a second.

Datagrams are encoded once for all receivers and sent at once; what the network has no room for is lost, as before. Up to 64 are received in a turn. The order of duties and the told members are computed when a member came, left or changed. A server without connections looks for clients that left five times a second instead of twenty.

8.0 ms after, in the same profile.

--- a/src/hawthornmast/forwarding/server.py
+++ b/src/hawthornmast/forwarding/server.py
@@ -33,6 +33,7 @@
 # Within this time a request is cancelled after its client has left. One poll
 # of all running requests is cheaper than a reading task for each of them.
 _WATCH_S = 0.05
+_IDLE_WATCH_S = 0.2
 _SWEEP_S = 1.0
 _LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 _FULL = (
@@ -254,7 +255,7 @@
 
     async def _watch_clients(self) -> None:
         while True:
-            await trio.sleep(_WATCH_S)
+            await trio.sleep(_WATCH_S if self._connections else _IDLE_WATCH_S)
             now = trio.current_time()
             for connection in self._connections:
                 if connection.limit <= now:
--- a/src/hawthornmast/gateway/datagrams.py
+++ b/src/hawthornmast/gateway/datagrams.py
@@ -1,9 +1,11 @@
 """Datagrams between members: beats with news, and evidence."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import enum
 import errno
 import logging
+import socket
 from typing import Any
 
 import msgpack
@@ -15,6 +17,9 @@
 
 MAX_BYTES = 60_000
 
+MOST_AT_ONCE = 64
+"""Datagrams that are handled before other work gets its turn."""
+
 
 class Kind(enum.IntEnum):
     """Kinds of datagrams."""
@@ -45,70 +50,81 @@
         self._host = host
         self._port = port
         self._handle = handle
-        self._socket: trio.socket.SocketType | None = None
+        self._socket: socket.socket | None = None
         self.sent_bytes = 0
         self.refused = 0
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Open the port and receive in the nursery."""
-        sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
-        await sock.bind((self._host, self._port))
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.setblocking(False)
+        sock.bind((self._host, self._port))
         self._socket = sock
         nursery.start_soon(self._receive)
 
     def close(self) -> None:
         """Close the port."""
         if self._socket is not None:
+            trio.lowlevel.notify_closing(self._socket)
             self._socket.close()
 
-    async def send(self, host: str, kind: Kind, content: Any) -> None:
-        """Send one message; what the network refuses is lost."""
+    def send(self, hosts: Iterable[str], kind: Kind, content: Any) -> None:
+        """Send one message to each host, without waiting.
+
+        What the network refuses, or has no room for, is lost.
+        """
         if self._socket is None:
             return
         data = msgpack.packb([int(kind), content])
         if len(data) > MAX_BYTES:
-            log_event(_LOG, "datagram-too-long", bytes=len(data), peer=host)
+            log_event(_LOG, "datagram-too-long", bytes=len(data))
             return
-        try:
-            await self._socket.sendto(data, (host, self._port))
-        except OSError as error:
-            if error.errno == errno.EBADF:
-                raise
-            log_event(
-                _LOG,
-                "datagram-failed",
-                level=logging.DEBUG,
-                peer=host,
-                detail=error.strerror,
-            )
-            return
-        self.sent_bytes += len(data)
+        for host in hosts:
+            try:
+                self._socket.sendto(data, (host, self._port))
+            except OSError as error:
+                if error.errno == errno.EBADF:
+                    raise
+                log_event(
+                    _LOG,
+                    "datagram-failed",
+                    level=logging.DEBUG,
+                    peer=host,
+                    detail=error.strerror,
+                )
+            else:
+                self.sent_bytes += len(data)
 
     async def _receive(self) -> None:
         sock = self._socket
         assert sock is not None
         while True:
             try:
-                data, address = await sock.recvfrom(65_536)
+                await trio.lowlevel.wait_readable(sock)
             except trio.ClosedResourceError:
                 return
-            except OSError as error:
-                log_event(_LOG, "datagram-failed", detail=error.strerror or "")
-                continue
-            try:
-                kind, content = msgpack.unpackb(data)
-                self._handle(Kind(kind), content, address[0])
-            except (
-                ValueError,
-                TypeError,
-                IndexError,
-                msgpack.UnpackException,
-            ):
-                self.refused += 1
-                log_event(
-                    _LOG,
-                    "datagram-refused",
-                    level=logging.WARNING,
-                    peer=address[0],
-                    bytes=len(data),
-                )
+            for _ in range(MOST_AT_ONCE):
+                try:
+                    data, address = sock.recvfrom(65_536)
+                except BlockingIOError:
+                    break
+                except OSError as error:
+                    log_event(
+                        _LOG, "datagram-failed", detail=error.strerror or ""
+                    )
+                    break
+                self._accept(data, address[0])
+
+    def _accept(self, data: bytes, sender: str) -> None:
+        try:
+            kind, content = msgpack.unpackb(data)
+            self._handle(Kind(kind), content, sender)
+        except (ValueError, TypeError, IndexError, msgpack.UnpackException):
+            self.refused += 1
+            log_event(
+                _LOG,
+                "datagram-refused",
+                level=logging.WARNING,
+                peer=sender,
+                bytes=len(data),
+            )
--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -1,5 +1,7 @@
 """One member, assembled."""
 
+from collections.abc import Iterable
+import itertools
 import logging
 import random
 import socket
@@ -34,9 +36,11 @@
 from hawthornmast.gateway.sources import Source
 from hawthornmast.gateway.sources import Sources
 from hawthornmast.gateway.upstreams import UpstreamDialect
+from hawthornmast.membership.gossip import Beat
 from hawthornmast.membership.gossip import Gossip
 from hawthornmast.membership.listing import UpstreamListing
 from hawthornmast.membership.placement import duty_rank
+from hawthornmast.membership.placement import group_by_zone
 from hawthornmast.routing import Configuration
 
 _LOG = logging.getLogger("hawthornmast.gateway")
@@ -138,7 +142,8 @@
         self._watch_counts()
         self._nursery: trio.Nursery | None = None
         # Members that live and those that clients are told, as of the last
-        # tick.
+        # tick that found a change.
+        self._seen = (-1, False)
         self._live: set[str] = set()
         self._told: list[Instance] = []
         self._staying: set[str] = set()
@@ -166,11 +171,8 @@
         zone
             The clients' zone; its members come first.
         """
-        zones: dict[str, list[Instance]] = {}
-        for item in self.gossip.live():
-            zones.setdefault(item.zone, []).append(item)
         chosen: list[Instance] = []
-        for items in zones.values():
+        for items in group_by_zone(self.gossip.live()).values():
             chosen += sorted(items, key=duty_rank)[:OWNERS_PER_ZONE]
         chosen.sort(key=lambda item: (item.zone != zone, item.instance_id))
         return chosen
@@ -237,8 +239,7 @@
         log_event(_LOG, "draining", grace_s=grace_s)
         self.closing = True
         self.gossip.ready = False
-        for beat in self.gossip.leave():
-            await self._send_beat(beat.host, beat.rows)
+        self._send_beats(self.gossip.leave())
         with trio.move_on_after(FINISH_SHARE * grace_s) as scope:
             await self.server.finish(ACCEPT_SHARE * grace_s)
         log_event(_LOG, "stopped", in_time=not scope.cancelled_caught)
@@ -274,8 +275,7 @@
             await trio.sleep(TICK_S if self.server.busy else IDLE_TICK_S)
             self.gossip.ready = self.ready
             self._update_members()
-            for beat in self.gossip.next_beats():
-                await self._send_beat(beat.host, beat.rows)
+            self._send_beats(self.gossip.next_beats())
             self.evidence.tick()
             own = self.options.instance.instance_id
             is_told = any(item.instance_id == own for item in self._told)
@@ -294,6 +294,10 @@
         )
 
     def _update_members(self) -> None:
+        seen = self.gossip.count_changes(), self.gossip.ready
+        if seen == self._seen:
+            return
+        self._seen = seen
         self._told = self.owners(self.options.instance.zone)
         live = {item.instance_id for item in self.gossip.live()}
         if live == self._live:
@@ -308,18 +312,28 @@
         )
         self._live = live
 
-    async def _send_beat(self, host: str, rows: list[Any]) -> None:
-        news = attrs.astuple(self.sources.news())
-        await self.datagrams.send(host, Kind.BEAT, [rows, list(news)])
+    def _send_beats(self, beats: Iterable[Beat]) -> None:
+        news = self._encode_news()
+        # Beats with the same rows follow each other.
+        for _, group in itertools.groupby(beats, lambda beat: id(beat.rows)):
+            same = list(group)
+            self.datagrams.send(
+                [beat.host for beat in same], Kind.BEAT, [same[0].rows, news]
+            )
 
-    async def _announce(self) -> None:
+    def _announce(self) -> None:
         """Tell the zone and the other speakers what this member has."""
-        news = list(attrs.astuple(self.sources.news()))
         told = self.gossip.mates()
         if self.gossip.is_speaker():
-            told += self.gossip.speakers()
-        for mate in told:
-            await self.datagrams.send(mate.host, Kind.BEAT, [[], news])
+            told = told + self.gossip.speakers()
+        self.datagrams.send(
+            [item.host for item in told],
+            Kind.BEAT,
+            [[], self._encode_news()],
+        )
+
+    def _encode_news(self) -> list[Any]:
+        return list(attrs.astuple(self.sources.news()))
 
     def _handle(self, kind: Kind, content: Any, sender: str) -> None:
         assert self._nursery is not None
@@ -328,20 +342,15 @@
             return
         rows, news = content
         if rows:
-            for beat in self.gossip.receive(rows, sender):
-                self._nursery.start_soon(self._send_beat, beat.host, beat.rows)
+            self._send_beats(self.gossip.receive(rows, sender))
         peer = self.gossip.find(sender)
         if peer is not None:
             self.sources.receive(decode_news(news), peer, self._nursery)
 
     def _send_evidence(self, rows: list[Any]) -> None:
-        assert self._nursery is not None
         own = self.options.instance.instance_id
-        for told in self._told:
-            if told.instance_id != own:
-                self._nursery.start_soon(
-                    self.datagrams.send, told.host, Kind.EVIDENCE, rows
-                )
+        hosts = [i.host for i in self._told if i.instance_id != own]
+        self.datagrams.send(hosts, Kind.EVIDENCE, rows)
 
     def _make_service(self, name: str) -> ServiceState:
         return ServiceState(
--- a/src/hawthornmast/gateway/sources.py
+++ b/src/hawthornmast/gateway/sources.py
@@ -10,7 +10,6 @@
 with nothing to tell.
 """
 
-from collections.abc import Awaitable
 from collections.abc import Callable
 import logging
 import random
@@ -169,7 +168,7 @@
         listing: UpstreamListing,
         on_configuration: Callable[[Configuration, str], None],
         on_listing: Callable[[str], None],
-        announce: Callable[[], Awaitable[None]],
+        announce: Callable[[], None],
         random_source: random.Random,
     ) -> None:
         self._source = source
@@ -268,10 +267,12 @@
 
     def _tick(self, nursery: trio.Nursery) -> None:
         now = trio.current_time()
-        rank = min(self._gossip.rank(), MAX_RANK)
-        later = rank * RANK_S
         age = now - self._listing.confirmed_at
         version_age = now - self._version_at
+        if age < LISTING_S and version_age < CONFIGURATION_S:
+            return
+        rank = min(self._gossip.rank(), MAX_RANK)
+        later = rank * RANK_S
         listing_due = age >= LISTING_S + later
         version_due = version_age >= CONFIGURATION_S + later
         new = self.new
@@ -306,7 +307,7 @@
             if version_due and done:
                 done = await self._read_configuration()
             if done:
-                await self._announce()
+                self._announce()
             else:
                 self._read_at = trio.current_time() + BACKOFF_S * (1 + rank)
         finally:
--- a/src/hawthornmast/gateway/tests/test_sources.py
+++ b/src/hawthornmast/gateway/tests/test_sources.py
@@ -42,7 +42,7 @@
             random_source=random.Random(1),
         )
 
-    async def _announce(self) -> None:
+    def _announce(self) -> None:
         self.announced += 1
 
 
--- a/src/hawthornmast/membership/gossip.py
+++ b/src/hawthornmast/membership/gossip.py
@@ -22,6 +22,7 @@
 from hawthornmast.common import Instance
 from hawthornmast.common import State
 from hawthornmast.membership.placement import duty_rank
+from hawthornmast.membership.placement import group_by_zone
 
 BEAT_S = 0.4
 """Period of beats between two daemons of a zone."""
@@ -140,6 +141,9 @@
         # Living members and the time up to which the list holds.
         self._found: list[Member] = []
         self._found_until = -math.inf
+        self._changes = 0
+        self._order: list[Instance] | None = None
+        self._speakers: list[Instance] | None = None
         self._beat_at = 0.0
         self._seed_at = 0.0
         self._started_at = clock()
@@ -178,44 +182,54 @@
                 return member.instance
         return None
 
-    def order_zone(self) -> list[str]:
-        """Return the names of the zone's living daemons in duty order.
+    def count_changes(self) -> int:
+        """Return how often the living daemons or their data changed."""
+        self._living()
+        return self._changes
+
+    def order_zone(self) -> list[Instance]:
+        """Return the zone's living daemons in duty order.
 
         The order ranks the daemons for duties of the zone; the first is its
         speaker.
         """
-        daemons = self.mates()
-        if self.instance.state is State.LIVE:
-            daemons.append(self.instance)
-        return [d.instance_id for d in sorted(daemons, key=duty_rank)]
+        self._living()
+        if self._order is None:
+            daemons = self.mates()
+            if self.instance.state is State.LIVE:
+                daemons.append(self.instance)
+            self._order = sorted(daemons, key=duty_rank)
+        return self._order
 
     def is_speaker(self) -> bool:
         """Tell whether this daemon speaks for its zone."""
         order = self.order_zone()
-        return not order or order[0] == self.instance.instance_id
+        return not order or order[0] is self.instance
 
     def speakers(self) -> list[Instance]:
         """Return the speakers of the other zones as this daemon sees them."""
-        zones: dict[str, list[Instance]] = {}
-        for item in self.others():
-            zones.setdefault(item.zone, []).append(item)
-        return [min(items, key=duty_rank) for items in zones.values()]
+        self._living()
+        if self._speakers is None:
+            self._speakers = [
+                min(items, key=duty_rank)
+                for items in group_by_zone(self.others()).values()
+            ]
+        return self._speakers
 
     def rank(self) -> int:
         """Return this daemon's place in the order of all duties.
 
         The speakers come first, then the others in the order of their zone.
         """
-        own = self.instance.instance_id
         order = self.order_zone()
         speakers = self.speakers()
-        if own not in order:
+        if self.instance not in order:
             return len(speakers) + len(order)
-        place = order.index(own)
+        place = order.index(self.instance)
         if place:
             return len(speakers) + place
-        ranked = sorted([*speakers, self.instance], key=duty_rank)
-        return [item.instance_id for item in ranked].index(own)
+        own = duty_rank(self.instance)
+        return sum(duty_rank(speaker) < own for speaker in speakers)
 
     def next_beats(self) -> list[Beat]:
         """Return the beats that are due now."""
@@ -249,6 +263,7 @@
     def leave(self) -> list[Beat]:
         """Return the beats that announce this daemon's end."""
         self.instance = attrs.evolve(self.instance, state=State.LEAVING)
+        self._note_change()
         rows = [self._own_row()]
         return [
             Beat(host=member.instance.host, rows=rows)
@@ -344,10 +359,8 @@
                 ready=bool(ready),
                 heard_at=heard,
             )
-            self._found_until = -math.inf
+            self._note_change()
             return
-        if member.instance != instance or not self._lives(member):
-            self._found_until = -math.inf
         if incarnation > member.incarnation:
             member.incarnation = incarnation
             member.met = False
@@ -357,19 +370,31 @@
         elif member.instance.state is State.LEAVING and not direct:
             member.heard_at = heard
             return
-        member.instance = instance
-        member.ready = bool(ready)
+        if not self._lives(member):
+            self._found_until = -math.inf
         member.heard_at = heard
+        if member.instance != instance or member.ready != ready:
+            member.instance = instance
+            member.ready = bool(ready)
+            self._note_change()
+
+    def _note_change(self) -> None:
+        self._changes += 1
+        self._found_until = -math.inf
+        self._order = self._speakers = None
 
     def _living(self) -> list[Member]:
         """Return the members that live, up to ``VIEW_S`` ago."""
         now = self._clock()
         if now >= self._found_until:
-            self._found = [
+            found = [
                 member
                 for member in self._members.values()
                 if self._lives(member)
             ]
+            if found != self._found:
+                self._found = found
+                self._note_change()
             self._found_until = now + VIEW_S
         return self._found
 
@@ -431,12 +456,9 @@
 
     def _foreign_rows(self) -> list[Row]:
         """Return the rows of the first daemons of each other zone."""
-        zones: dict[str, list[Instance]] = {}
-        for item in self.others():
-            zones.setdefault(item.zone, []).append(item)
         return [
             row
-            for items in zones.values()
+            for items in group_by_zone(self.others()).values()
             for row in self._first_rows(items, TOLD_ROWS)
         ]
 
--- a/src/hawthornmast/membership/placement.py
+++ b/src/hawthornmast/membership/placement.py
@@ -35,6 +35,14 @@
     return score(name, daemon.instance_id), daemon.instance_id
 
 
+def group_by_zone(daemons: Iterable[Instance]) -> dict[str, list[Instance]]:
+    """Return the daemons of each zone in the order given."""
+    zones: dict[str, list[Instance]] = {}
+    for daemon in daemons:
+        zones.setdefault(daemon.zone, []).append(daemon)
+    return zones
+
+
 def duty_rank(daemon: Instance) -> tuple[float, int, str]:
     """Return the key that orders the daemons of a zone for its duties.
 
--- a/src/hawthornmast/membership/tests/test_gossip.py
+++ b/src/hawthornmast/membership/tests/test_gossip.py
@@ -139,7 +139,7 @@
         assert network.daemons[host].rank() == 0
         for gossip in network.daemons.values():
             if gossip.instance.zone == zone:
-                assert gossip.order_zone()[0] == f"d-{host}"
+                assert gossip.order_zone()[0].host == host
             else:
                 assert host in {item.host for item in gossip.speakers()}
 
