Let published lists state a daemon's capacity

Seen as tests/test_convergence.py running without an end: the daemons never start, and the test clock jumps on for ever. Found by py-spy on the test process, at the start of a daemon, with the list of daemons never resolved.

The field is optional and checked; tests of the parser refuse bad ones, and test_zone.py is again as it was.

--- a/src/hawthornmast/common/instances.py
+++ b/src/hawthornmast/common/instances.py
@@ -31,8 +31,9 @@
     state
         Published state.
     capacity
-        Processor time that its machine gives it, in cores. Published
-        lists don't state it.
+        Processor time that its machine gives it, in cores. It orders the
+        daemons of a zone for duties where they find each other by
+        themselves; a published list may state it, without effect.
     """
 
     instance_id: str
--- a/src/hawthornmast/membership/lists.py
+++ b/src/hawthornmast/membership/lists.py
@@ -4,6 +4,7 @@
 import functools
 import ipaddress
 import json
+import math
 from typing import Any
 from typing import TypeVar
 
@@ -29,6 +30,14 @@
     )
 
 
+def _is_capacity(value: Any) -> bool:
+    return (
+        isinstance(value, int | float)
+        and not isinstance(value, bool)
+        and 0 < value < math.inf
+    )
+
+
 def _is_port(value: Any) -> bool:
     return type(value) is int and 0 < value < 65536
 
@@ -57,6 +66,7 @@
 _DAEMON = {
     "instance_id": (_is_name, "a name without spaces"),
     "peer_port": (_is_port, "1 to 65535"),
+    "capacity": (_is_capacity, "a number above 0"),
     **_COMMON,
 }
 _UPSTREAM = {
@@ -65,7 +75,7 @@
     "connections": (_is_count, "an integer of 1 or more"),
     **_COMMON,
 }
-_OPTIONAL = {"state", "connections"}
+_OPTIONAL = {"state", "connections", "capacity"}
 
 
 # A list is validated and then applied; the second call reuses the result.
--- a/src/hawthornmast/membership/tests/test_directory.py
+++ b/src/hawthornmast/membership/tests/test_directory.py
@@ -29,6 +29,9 @@
             {"state": "gone"},
             {"extra": 1},
             {"zone": ""},
+            {"capacity": 0},
+            {"capacity": True},
+            {"capacity": "1"},
             {},
         ],
     )
--- a/src/hawthornmast/membership/tests/test_zone.py
+++ b/src/hawthornmast/membership/tests/test_zone.py
@@ -27,14 +27,9 @@
     )
 
 
-def make_entry(daemon: Instance) -> dict[str, object]:
-    """Return an entry of a published list, which states no capacity."""
-    return attrs.asdict(daemon, filter=attrs.filters.exclude("capacity"))
-
-
 def publish(directory: Directory, listed: list[Instance]) -> None:
     for revision, zone in enumerate(ZONES):
-        members = [make_entry(d) for d in listed if d.zone == zone]
+        members = [attrs.asdict(d) for d in listed if d.zone == zone]
         key = f"instances/daemons/{zone}"
         done = directory.apply(key, revision + 1, json.dumps(members))
         assert done.is_ok()
@@ -76,10 +71,10 @@
     def test_zone_list_replaces_part_of_whole_list(self) -> None:
         directory = Directory(instance=make_instance(0))
         whole = [make_instance(number) for number in range(6)]
-        text = json.dumps([make_entry(item) for item in whole])
+        text = json.dumps([attrs.asdict(item) for item in whole])
         directory.apply("instances/daemons", 1, text)
         key = "instances/daemons/a"
-        directory.apply(key, 2, json.dumps([make_entry(whole[0])]))
+        directory.apply(key, 2, json.dumps([attrs.asdict(whole[0])]))
         ids = {daemon.instance_id for daemon in directory.daemons}
         assert ids == {"d0", "d1", "d2", "d4", "d5"}
         directory.apply(key, 3, None)
@@ -87,7 +82,7 @@
 
     def test_refuses_daemon_of_other_zone(self) -> None:
         directory = Directory(instance=make_instance(0))
-        text = json.dumps([make_entry(make_instance(1))])
+        text = json.dumps([attrs.asdict(make_instance(1))])
         done = directory.apply("instances/daemons/a", 1, text)
         assert "'a'" in done.unwrap_err().detail
         assert directory.daemons == ()
@@ -95,10 +90,10 @@
     def test_moved_daemon_stays_listed_in_its_new_zone(self) -> None:
         directory = Directory(instance=make_instance(0))
         whole = [make_instance(number) for number in range(6)]
-        text = json.dumps([make_entry(item) for item in whole])
+        text = json.dumps([attrs.asdict(item) for item in whole])
         directory.apply("instances/daemons", 1, text)
         whole[0] = attrs.evolve(whole[0], zone="c")
-        text = json.dumps([make_entry(item) for item in whole])
+        text = json.dumps([attrs.asdict(item) for item in whole])
         directory.apply("instances/daemons", 2, text)
         assert directory.daemon("d0") == whole[0]
         assert set(directory.daemons) == set(whole)
