Move the rows of beats into a module of their own

A beat is decoded as a whole before any of it is applied, so that a malformed row leaves nothing half applied. The capacity in the platform's settings file is tested.

--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -36,7 +36,7 @@
 from hawthornmast.gateway.sources import Source
 from hawthornmast.gateway.sources import Sources
 from hawthornmast.gateway.upstreams import UpstreamDialect
-from hawthornmast.membership.gossip import Beat
+from hawthornmast.membership.beats import Beat
 from hawthornmast.membership.gossip import Gossip
 from hawthornmast.membership.listing import UpstreamListing
 from hawthornmast.membership.placement import duty_rank
--- a/src/hawthornmast/membership/gossip.py
+++ b/src/hawthornmast/membership/gossip.py
@@ -15,12 +15,16 @@
 from collections.abc import Iterable
 import math
 import random
-from typing import Any
 
 import attrs
 
 from hawthornmast.common import Instance
 from hawthornmast.common import State
+from hawthornmast.membership.beats import Beat
+from hawthornmast.membership.beats import decode_row
+from hawthornmast.membership.beats import encode_row
+from hawthornmast.membership.beats import Report
+from hawthornmast.membership.beats import Row
 from hawthornmast.membership.placement import duty_rank
 from hawthornmast.membership.placement import group_by_zone
 
@@ -59,10 +63,6 @@
 FORGET_S = 60.0
 """Seconds after which a lost daemon is no longer tried."""
 
-Row = list[Any]
-_NAME = 0
-_INCARNATION = 7
-
 
 @attrs.define(kw_only=True, eq=False)
 class Member:
@@ -91,14 +91,6 @@
     redirected_at: float = -math.inf
 
 
-@attrs.frozen(kw_only=True)
-class Beat:
-    """One sign of life, ready to be sent to an address."""
-
-    host: str
-    rows: list[Row]
-
-
 class Gossip:
     """Finds daemons through seeds and tells which of them live.
 
@@ -276,13 +268,18 @@
         Raises ValueError, TypeError or IndexError for malformed rows.
         """
         now = self._clock()
-        name, incarnation = rows[0][_NAME], rows[0][_INCARNATION]
+        reports = [decode_row(row) for row in rows]
+        name = reports[0].instance.instance_id
+        incarnation = reports[0].incarnation
         known = self._members.get(name)
         if known is not None and incarnation < known.incarnation:
             # It started again after its time of day stepped back; told of
             # its former incarnation, it takes a higher one.
-            former = self._row(
-                known.instance, False, known.incarnation, age=0.0
+            former = encode_row(
+                known.instance,
+                ready=False,
+                incarnation=known.incarnation,
+                age_s=0.0,
             )
             return [Beat(host=sender, rows=[self._own_row(), former])]
         met = (
@@ -290,8 +287,8 @@
             and known.met
             and known.incarnation == incarnation
         )
-        for index, row in enumerate(rows):
-            self._apply(row, now, direct=index == 0)
+        for index, report in enumerate(reports):
+            self._apply(report, now, direct=index == 0)
         if name == self.instance.instance_id:
             return []
         self._members[name].met = True
@@ -322,41 +319,22 @@
         sender.redirected_at = now
         return True
 
-    def _apply(self, row: Row, now: float, *, direct: bool) -> None:
-        (
-            name,
-            zone,
-            host,
-            port,
-            peer_port,
-            leaving,
-            ready,
-            incarnation,
-            age,
-            capacity,
-        ) = row
+    def _apply(self, report: Report, now: float, *, direct: bool) -> None:
+        instance, incarnation = report.instance, report.incarnation
+        name = instance.instance_id
         if name == self.instance.instance_id:
             if incarnation > self.incarnation:
                 self.incarnation = incarnation + 1
             return
-        heard = now if direct else now - float(age)
+        heard = now if direct else now - report.age_s
         member = self._members.get(name)
         if member is not None and incarnation < member.incarnation:
             return
-        instance = Instance(
-            instance_id=name,
-            zone=zone,
-            host=host,
-            port=int(port),
-            peer_port=int(peer_port),
-            state=State.LEAVING if leaving else State.LIVE,
-            capacity=float(capacity),
-        )
         if member is None:
             self._members[name] = Member(
                 instance=instance,
                 incarnation=incarnation,
-                ready=bool(ready),
+                ready=report.ready,
                 heard_at=heard,
             )
             self._note_change()
@@ -373,9 +351,9 @@
         if not self._lives(member):
             self._found_until = -math.inf
         member.heard_at = heard
-        if member.instance != instance or member.ready != ready:
+        if member.instance != instance or member.ready != report.ready:
             member.instance = instance
-            member.ready = bool(ready)
+            member.ready = report.ready
             self._note_change()
 
     def _note_change(self) -> None:
@@ -408,33 +386,22 @@
         return age <= limit and member.instance.state is State.LIVE
 
     def _own_row(self) -> Row:
-        return self._row(self.instance, self.ready, self.incarnation, age=0.0)
-
-    def _row(
-        self, item: Instance, ready: bool, incarnation: int, *, age: float
-    ) -> Row:
-        return [
-            item.instance_id,
-            item.zone,
-            item.host,
-            item.port,
-            item.peer_port,
-            item.state is State.LEAVING,
-            ready,
-            incarnation,
-            round(age, 2),
-            item.capacity,
-        ]
+        return encode_row(
+            self.instance,
+            ready=self.ready,
+            incarnation=self.incarnation,
+            age_s=0.0,
+        )
 
     def _rows(self, instances: Iterable[Instance]) -> list[Row]:
         now = self._clock()
         members = [self._members[item.instance_id] for item in instances]
         return [
-            self._row(
+            encode_row(
                 member.instance,
-                member.ready,
-                member.incarnation,
-                age=now - member.heard_at,
+                ready=member.ready,
+                incarnation=member.incarnation,
+                age_s=now - member.heard_at,
             )
             for member in members
         ]
--- a/src/hawthornmast/membership/tests/test_gossip.py
+++ b/src/hawthornmast/membership/tests/test_gossip.py
@@ -275,7 +275,7 @@
         assert only.rank() == 0
         assert [item.host for item in only.live()] == [only.instance.host]
 
-    @pytest.mark.parametrize("rows", [[[1]], [None], [["a"] * 9]])
+    @pytest.mark.parametrize("rows", [[[1]], [None], [["a"] * 10]])
     def test_refuses_malformed_rows(self, rows: list[object]) -> None:
         network = Network(zones=1, per_zone=1)
         (only,) = network.daemons.values()
--- a/src/hawthornmast/platform/tests/test_settings.py
+++ b/src/hawthornmast/platform/tests/test_settings.py
@@ -19,6 +19,8 @@
 Listen.Directory=10.1.0.18:8383
 InternalPorts=7200,7215
 Seeds=10.1.0.18:8382,10.2.0.34:8382
+Limits.CpuShare=0.5
+Limits.Cores=3
 Limits.MaxFds=4100
 Bounds.Grace=6s
 Bounds.RetryBudgetRatio=0.2
@@ -44,6 +46,7 @@
         options = settings.options
         assert options.instance.address == "10.1.0.18:8381"
         assert options.instance.peer_port == 7200
+        assert options.instance.capacity == 1.5
         assert options.seeds == ("10.1.0.18", "10.2.0.34")
         assert options.bounds == Bounds(
             retry_ratio=0.2,
@@ -60,6 +63,11 @@
         options = parse_settings(TEXT, source="s").unwrap().options
         assert 100 <= options.connections <= 4100 - 200
 
+    def test_machine_without_stated_cores_counts_as_one(self) -> None:
+        text = drop("Limits.CpuShare").replace("Limits.Cores=3\n", "")
+        options = parse_settings(text, source="s").unwrap().options
+        assert options.instance.capacity == 1.0
+
     def test_optional_fields(self) -> None:
         text = drop("Seeds")
         settings = parse_settings(text, source="s").unwrap()
