--- a/src/hawthornmast/membership/beats.py
+++ b/src/hawthornmast/membership/beats.py
@@ -1,5 +1,6 @@
-"""What daemons tell each other of the daemons that live."""
+"""What daemons know and tell each other of the daemons that live."""
 
+import math
 from typing import Any
 
 import attrs
@@ -10,6 +11,33 @@
 Row = list[Any]
 
 
+@attrs.define(kw_only=True, eq=False)
+class Member:
+    """Another daemon as this one knows it.
+
+    Parameters
+    ----------
+    instance
+        Its name, zone and addresses.
+    incarnation
+        Start of its process in nanoseconds since the epoch.
+    heard_at
+        Monotonic time at which it was heard itself, or a speaker vouched
+        for it.
+    met
+        Whether it was heard itself in this incarnation.
+    redirected_at
+        Monotonic time at which it was last told the speaker of this zone.
+    """
+
+    instance: Instance
+    incarnation: int
+    ready: bool
+    heard_at: float
+    met: bool = False
+    redirected_at: float = -math.inf
+
+
 @attrs.frozen(kw_only=True)
 class Beat:
     """One sign of life, ready to be sent to an address."""
--- a/src/hawthornmast/membership/gossip.py
+++ b/src/hawthornmast/membership/gossip.py
@@ -23,6 +23,7 @@
 from hawthornmast.membership.beats import Beat
 from hawthornmast.membership.beats import decode_row
 from hawthornmast.membership.beats import encode_row
+from hawthornmast.membership.beats import Member
 from hawthornmast.membership.beats import Report
 from hawthornmast.membership.beats import Row
 from hawthornmast.membership.placement import duty_rank
@@ -64,33 +65,6 @@
 """Seconds after which a lost daemon is no longer tried."""
 
 
-@attrs.define(kw_only=True, eq=False)
-class Member:
-    """Another daemon as this one knows it.
-
-    Parameters
-    ----------
-    instance
-        Its name, zone and addresses.
-    incarnation
-        Start of its process in nanoseconds since the epoch.
-    heard_at
-        Monotonic time at which it was heard itself, or a speaker vouched
-        for it.
-    met
-        Whether it was heard itself in this incarnation.
-    redirected_at
-        Monotonic time at which it was last told the speaker of this zone.
-    """
-
-    instance: Instance
-    incarnation: int
-    ready: bool
-    heard_at: float
-    met: bool = False
-    redirected_at: float = -math.inf
-
-
 class Gossip:
     """Finds daemons through seeds and tells which of them live.
 
