Share the start of a control server and the test clock, encode news only for beats

Found by reading the whole change. A member and the platform's process each opened a port and served it with the same lines; both call http.open_server now. Four test modules had the same clock; standins/clock.py serves them, with the assertions unchanged. A member encoded its news ten to twenty times a second though most ticks send no beat. The hash name of the duty order was a literal beside an unused constant.

--- a/src/hawthornmast/forwarding/tests/test_tickets.py
+++ b/src/hawthornmast/forwarding/tests/test_tickets.py
@@ -14,14 +14,7 @@
 from hawthornmast.forwarding.tickets import TicketBook
 from hawthornmast.limits import Reason
 from hawthornmast.limits import Refusal
-
-
-@attrs.define
-class Clock:
-    now: float = 100.0
-
-    def __call__(self):
-        return self.now
+from standins.clock import Clock
 
 
 class TestTicketBook:
--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -1,6 +1,5 @@
 """One member, assembled."""
 
-from collections.abc import Iterable
 import itertools
 import logging
 import random
@@ -193,10 +192,12 @@
         self._nursery = nursery
         instance = self.options.instance
         await self.datagrams.start(nursery)
-        listeners = await trio.open_tcp_listeners(
-            instance.peer_port, host=instance.host
+        await http.open_server(
+            nursery,
+            self._answer_peer,
+            host=instance.host,
+            port=instance.peer_port,
         )
-        nursery.start_soon(self._serve_peers, listeners)
         await self.server.start(nursery, listener=listener)
         nursery.start_soon(self.sources.run)
         nursery.start_soon(self._tick)
@@ -249,12 +250,6 @@
         self.gossip.seeds = options.seeds
         log_event(_LOG, "reloaded", seeds=len(options.seeds))
 
-    async def _serve_peers(self, listeners: list[trio.SocketListener]) -> None:
-        await trio.serve_listeners(self._serve_peer, listeners)
-
-    async def _serve_peer(self, stream: trio.SocketStream) -> None:
-        await http.serve_connection(stream, self._answer_peer)
-
     async def _answer_peer(self, request: http.Request) -> http.Response:
         if request.path != SNAPSHOT_PATH:
             return http.json_response({"error": "not found"}, status=404)
@@ -312,7 +307,9 @@
         )
         self._live = live
 
-    def _send_beats(self, beats: Iterable[Beat]) -> None:
+    def _send_beats(self, beats: list[Beat]) -> None:
+        if not beats:
+            return
         news = self._encode_news()
         # Beats with the same rows follow each other.
         for _, group in itertools.groupby(beats, lambda beat: id(beat.rows)):
--- a/src/hawthornmast/http/__init__.py
+++ b/src/hawthornmast/http/__init__.py
@@ -6,6 +6,7 @@
 from hawthornmast.http.messages import Request
 from hawthornmast.http.messages import Response
 from hawthornmast.http.server import Handler
+from hawthornmast.http.server import open_server
 from hawthornmast.http.server import serve_connection
 
 __all__ = [
@@ -15,5 +16,6 @@
     "Response",
     "fetch",
     "json_response",
+    "open_server",
     "serve_connection",
 ]
--- a/src/hawthornmast/http/server.py
+++ b/src/hawthornmast/http/server.py
@@ -27,6 +27,21 @@
         self.status = status
 
 
+async def open_server(
+    nursery: trio.Nursery, handler: Handler, *, host: str, port: int
+) -> None:
+    """Listen on an address and serve its connections in the nursery.
+
+    Raises OSError when the port can't be opened.
+    """
+    listeners = await trio.open_tcp_listeners(port, host=host)
+
+    async def serve(stream: trio.SocketStream) -> None:
+        await serve_connection(stream, handler)
+
+    nursery.start_soon(trio.serve_listeners, serve, listeners)
+
+
 async def serve_connection(
     stream: trio.abc.Stream,
     handler: Handler,
--- a/src/hawthornmast/limits/tests/test_shared.py
+++ b/src/hawthornmast/limits/tests/test_shared.py
@@ -14,16 +14,7 @@
 from hawthornmast.limits.shared import REPORT_S
 from hawthornmast.limits.shared import SILENT_S
 from hawthornmast.limits.shared import TRIAL_S
-
-
-class Clock:
-    """A clock that tests move."""
-
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def __call__(self) -> float:
-        return self.now
+from standins.clock import Clock
 
 
 def make_upstream(name: str, **changes: object) -> Upstream:
--- a/src/hawthornmast/limits/tests/test_window.py
+++ b/src/hawthornmast/limits/tests/test_window.py
@@ -3,16 +3,7 @@
 import pytest
 
 from hawthornmast.limits import WindowBudget
-
-
-class Clock:
-    """A clock that tests move."""
-
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def __call__(self) -> float:
-        return self.now
+from standins.clock import Clock
 
 
 @pytest.fixture
--- a/src/hawthornmast/membership/placement.py
+++ b/src/hawthornmast/membership/placement.py
@@ -18,7 +18,7 @@
 _CHORD_BASE = 4
 RING = "hawthornmast/ring"
 READERS = "hawthornmast/readers"
-ZONE = "zone"
+DUTIES = "zone"
 
 
 @functools.lru_cache(maxsize=8192)
@@ -51,7 +51,7 @@
     """
     return (
         -daemon.capacity,
-        score("zone", daemon.instance_id),
+        score(DUTIES, daemon.instance_id),
         daemon.instance_id,
     )
 
--- a/src/hawthornmast/membership/tests/test_listing.py
+++ b/src/hawthornmast/membership/tests/test_listing.py
@@ -10,16 +10,7 @@
 from hawthornmast.membership.listing import Reading
 from hawthornmast.membership.listing import RETURN_S
 from hawthornmast.membership.listing import UpstreamListing
-
-
-class Clock:
-    """A clock that tests move."""
-
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def __call__(self) -> float:
-        return self.now
+from standins.clock import Clock
 
 
 def make_entry(name: str, **changes: object) -> ListedUpstream:
--- a/src/hawthornmast/platform/process.py
+++ b/src/hawthornmast/platform/process.py
@@ -75,13 +75,17 @@
             signal.SIGTERM, signal.SIGHUP
         ) as signals:
             await member.start(nursery, listener=listener)
-            await _open_page(nursery, settings.ready, pages.answer_ready)
-            if settings.directory is not None:
-                await _open_page(
-                    nursery, settings.directory, pages.answer_directory
-                )
             metrics = (settings.options.instance.host, METRICS_PORT)
-            await _open_page(nursery, metrics, pages.answer_metrics)
+            for address, handler in (
+                (settings.ready, pages.answer_ready),
+                (settings.directory, pages.answer_directory),
+                (metrics, pages.answer_metrics),
+            ):
+                if address is not None:
+                    host, port = address
+                    await http.open_server(
+                        nursery, handler, host=host, port=port
+                    )
             async for number in signals:
                 if number == signal.SIGTERM:
                     break
@@ -90,18 +94,6 @@
         nursery.cancel_scope.cancel()
 
 
-async def _open_page(
-    nursery: trio.Nursery, address: tuple[str, int], handler: http.Handler
-) -> None:
-    host, port = address
-    listeners = await trio.open_tcp_listeners(port, host=host)
-
-    async def serve(stream: trio.SocketStream) -> None:
-        await http.serve_connection(stream, handler)
-
-    nursery.start_soon(trio.serve_listeners, serve, listeners)
-
-
 def _reload(member: GatewayMember, path: str) -> None:
     """Apply the settings that may change while the process runs."""
     loaded = settings_module.load_settings(path)
