--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -1,5 +1,6 @@
 """Assembly of one member of the fleet."""
 
+import functools
 import itertools
 import logging
 import random
@@ -245,6 +246,27 @@
             " of the others.",
             lambda: len(self.gossip.live()),
         )
+        self._register_coverage_gauges()
+
+    def _register_coverage_gauges(self) -> None:
+        documentation = {
+            "healthy": "Eligible upstreams without a recent failure.",
+            "receiving": "Healthy upstreams with a recent request.",
+            "avoided": "Healthy upstreams that are still believed to fail.",
+        }
+        for field, text in documentation.items():
+            self.metrics.register_service_gauge(
+                f"hawthornmast_{field}_upstreams",
+                text,
+                functools.partial(self._count_covered, field),
+            )
+
+    def _count_covered(self, field: str) -> dict[str, float]:
+        """Return one field of the coverage of each service."""
+        return {
+            state.name: getattr(state.pool.measure_coverage(), field)
+            for state in self.services
+        }
 
     async def drain(self) -> None:
         """Leave the fleet and finish running requests in the grace period."""
--- a/src/hawthornmast/gateway/metrics.py
+++ b/src/hawthornmast/gateway/metrics.py
@@ -1,9 +1,14 @@
 """Counters and histograms of one member."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
+from collections.abc import Mapping
 
+import attrs
 import prometheus_client
 from prometheus_client import CollectorRegistry
+from prometheus_client.core import GaugeMetricFamily
+from prometheus_client.registry import Collector
 
 from hawthornmast.common import Outcome
 
@@ -21,6 +26,31 @@
 )
 
 
+@attrs.frozen
+class _ServiceGauge(Collector):
+    """A value of each service that is read at each scrape."""
+
+    name: str
+    documentation: str
+    get_values: Callable[[], Mapping[str, float]]
+
+    def describe(self) -> Iterator[GaugeMetricFamily]:
+        """Return the metric without samples; the services are not read."""
+        yield self._make_family({})
+
+    def collect(self) -> Iterator[GaugeMetricFamily]:
+        """Return one sample for each service."""
+        yield self._make_family(self.get_values())
+
+    def _make_family(self, values: Mapping[str, float]) -> GaugeMetricFamily:
+        family = GaugeMetricFamily(
+            self.name, self.documentation, labels=["service"]
+        )
+        for service, value in values.items():
+            family.add_metric([service], value)
+        return family
+
+
 class GatewayMetrics:
     """Metrics of one process in a separate registry.
 
@@ -70,6 +100,15 @@
         )
         gauge.set_function(get_value)
 
+    def register_service_gauge(
+        self,
+        name: str,
+        documentation: str,
+        get_values: Callable[[], Mapping[str, float]],
+    ) -> None:
+        """Export a value of each service that is read at each scrape."""
+        self.registry.register(_ServiceGauge(name, documentation, get_values))
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/hawthornmast/gateway/options.py
+++ b/src/hawthornmast/gateway/options.py
@@ -21,6 +21,9 @@
         Seconds between SIGTERM and the kill of the process.
     address_ttl_s
         Seconds for which clients may cache the addresses of members.
+    floor_share
+        Share of a service's healthy upstreams that must receive requests
+        while a part of its requests fails.
     """
 
     retry_ratio: float = 0.1
@@ -28,6 +31,7 @@
     retry_window_s: float = 10.0
     grace_s: float = 6.0
     address_ttl_s: float = 1.0
+    floor_share: float = 0.7
 
 
 @attrs.frozen(kw_only=True)
--- a/src/hawthornmast/gateway/services.py
+++ b/src/hawthornmast/gateway/services.py
@@ -18,6 +18,7 @@
 from hawthornmast.catalogue import Entry
 from hawthornmast.catalogue import Service
 from hawthornmast.common import Upstream
+from hawthornmast.gateway.coverage import CoverageLog
 from hawthornmast.gateway.options import Bounds
 from hawthornmast.limits import Dispatcher
 from hawthornmast.limits import FleetRetryBudget
@@ -169,6 +170,9 @@
             ),
             on_change=self._log_upstream_change,
         )
+        self._coverage_log = CoverageLog(
+            name, floor_share=bounds.floor_share, clock=trio.current_time
+        )
         self._mean_latency_s: dict[str, float] = {}
         self.dispatcher = Dispatcher(
             Service(
@@ -228,7 +232,7 @@
         )
 
     def tick(self, *, slack: float, is_advertised: bool) -> None:
-        """Update the retry slack and dispatch queued requests.
+        """Update the retry slack, dispatch queued requests, log the coverage.
 
         Called periodically by the member.
 
@@ -248,6 +252,8 @@
         if self.dispatcher.count_waiting():
             # Failure probabilities change with time, without any event.
             self.dispatcher.redispatch()
+        if is_advertised:
+            self._coverage_log.tick(self.pool.measure_coverage)
 
     def update_entries(self, entries: tuple[Entry, ...], version: int) -> None:
         """Apply the routes of a new configuration."""
--- a/src/hawthornmast/limits/__init__.py
+++ b/src/hawthornmast/limits/__init__.py
@@ -5,6 +5,7 @@
 from hawthornmast.limits.admission import Refusal
 from hawthornmast.limits.allocator import SlotAllocator
 from hawthornmast.limits.budget import RetryBudget
+from hawthornmast.limits.coverage import Coverage
 from hawthornmast.limits.dispatcher import Dispatcher
 from hawthornmast.limits.division import divide_statically
 from hawthornmast.limits.messages import SlotDemand
@@ -15,6 +16,7 @@
 
 __all__ = [
     "Admission",
+    "Coverage",
     "Dispatcher",
     "Reason",
     "Refusal",
--- a/src/hawthornmast/limits/shared.py
+++ b/src/hawthornmast/limits/shared.py
@@ -17,6 +17,10 @@
 from hawthornmast.common import Upstream
 from hawthornmast.health.belief import Belief
 from hawthornmast.health.belief import Observation
+from hawthornmast.limits.coverage import Coverage
+from hawthornmast.limits.coverage import COVERAGE_WINDOW_S
+from hawthornmast.limits.coverage import OutcomeWindow
+from hawthornmast.limits.coverage import RECOVERY_S
 
 UTILIZATION_COST = 0.03
 """Cost of a fully used upstream over an idle one, in the same unit as the
@@ -55,18 +59,6 @@
 more than ``FLOOR_FAILURE_SHARE`` of the service's requests fail. The floor
 then limits how many healthy upstreams may be left without requests."""
 
-FLOOR_FAILURE_SHARE = 0.05
-"""Fraction of failed requests of the service, within ``RECOVERY_S``, above
-which all healthy upstreams must receive requests."""
-
-FLOOR_MIN_FAILURES = 3
-"""Minimum number of these failed requests, so that one or two failures among
-few requests have no effect."""
-
-RECOVERY_S = 2.0
-"""Time after its last failure at which an upstream counts as healthy again;
-also the window in which failed requests of the service are counted."""
-
 
 @attrs.define(kw_only=True, eq=False)
 class PooledUpstream:
@@ -149,8 +141,7 @@
         self.members: dict[str, PooledUpstream] = {}
         self.silence_timeout_s = SILENCE_TIMEOUT_S
         self.explores = True
-        # Time and success of each finished request.
-        self._outcomes: list[tuple[float, bool]] = []
+        self._outcomes = OutcomeWindow(clock)
 
     def update(self, upstreams: Iterable[Upstream]) -> None:
         """Replace the upstreams; requests on removed ones may finish."""
@@ -202,7 +193,7 @@
         limit = MAX_FAILURE_PROBABILITY + (
             1.0 - MAX_FAILURE_PROBABILITY
         ) * min(1.0, 2.0 * (1.0 - time_left_fraction))
-        must_spread = self.explores and self._must_spread(now)
+        must_spread = self.explores and self._outcomes.exceeds_floor_share()
         # The lowest cost wins. Offsets put trials (-2) first, then upstreams
         # that are new or due for a request under the floor (-1 each); the
         # random term up to 0.001 breaks ties. The initial cost exceeds any
@@ -365,18 +356,28 @@
 
     def record_request_outcome(self, *, succeeded: bool) -> None:
         """Record whether a finished request of the service succeeded."""
-        self._outcomes.append((self._clock(), succeeded))
+        self._outcomes.record(succeeded=succeeded)
 
-    def _must_spread(self, now: float) -> bool:
-        """Return whether every healthy upstream must receive requests.
-
-        While requests of the service fail, the floor limits how many healthy
-        upstreams may be left without requests.
-        """
-        while self._outcomes and self._outcomes[0][0] < now - RECOVERY_S:
-            self._outcomes.pop(0)
-        failures = sum(not succeeded for _, succeeded in self._outcomes)
-        return (
-            failures >= FLOOR_MIN_FAILURES
-            and failures > FLOOR_FAILURE_SHARE * len(self._outcomes)
+    def measure_coverage(self) -> Coverage:
+        """Return how many healthy upstreams receive requests now."""
+        now = self._clock()
+        healthy = [
+            member
+            for member in self.members.values()
+            if member.is_candidate()
+            and now - member.belief.last_failure_at > RECOVERY_S
+        ]
+        failed, finished = self._outcomes.count()
+        return Coverage(
+            healthy=len(healthy),
+            receiving=sum(
+                now - member.last_request_at <= COVERAGE_WINDOW_S
+                for member in healthy
+            ),
+            avoided=sum(
+                member.belief.probability_at(now) > MAX_FAILURE_PROBABILITY
+                for member in healthy
+            ),
+            failed=failed,
+            finished=finished,
         )
--- a/src/hawthornmast/platform/settings.py
+++ b/src/hawthornmast/platform/settings.py
@@ -134,5 +134,6 @@
     set_bound("retry_slack", "BudgetSlack", float)
     set_bound("retry_window_s", "BudgetWindow", parse_duration)
     set_bound("grace_s", "Grace", parse_duration)
+    set_bound("floor_share", "FloorShare", float)
     max_ttl_s = parse_duration(fields.get("Bounds.ttl_max") or "5s")
     return Bounds(address_ttl_s=min(ADDRESS_TTL_S, max_ttl_s), **values)
--- a/src/hawthornmast/platform/tests/test_settings.py
+++ b/src/hawthornmast/platform/tests/test_settings.py
@@ -26,6 +26,7 @@
 Bounds.RetryBudgetRatio=0.2
 Bounds.BudgetWindow=10s
 Bounds.BudgetSlack=62
+Bounds.FloorShare=0.75
 Bounds.ttl_max=500ms
 Platform.Address=10.200.1.7:8384
 New.Field=of a later version
@@ -54,6 +55,7 @@
             retry_window_s=10.0,
             grace_s=6.0,
             address_ttl_s=0.5,
+            floor_share=0.75,
         )
         assert settings.store_address == ("10.200.1.7", 8384)
         assert settings.ready_address == ("10.1.0.18", 8388)
