--- a/src/hawthornmast/limits/tests/simulation.py
+++ b/src/hawthornmast/limits/tests/simulation.py
@@ -48,7 +48,8 @@
     service_s
         Mean time of a request.
     is_failing
-        Whether an upstream fails its requests at a time; all fail.
+        Whether an upstream fails its requests, by its name and the time
+        since the start in seconds.
     seed
         Seed of the random choices.
     """
@@ -59,7 +60,9 @@
         upstreams: int,
         requests_per_s: float,
         service_s: float,
-        is_failing: Callable[[str, float], bool] = lambda name, now: False,
+        is_failing: Callable[[str, float], bool] = lambda name, elapsed_s: (
+            False
+        ),
         seed: int = 1,
     ) -> None:
         self.clock = ManualClock()
@@ -129,7 +132,7 @@
         name = attempt.upstream.upstream_id
         self.received[name].append(now)
         attempt.started_at = now
-        attempt.failed = self._is_failing(name, now)
+        attempt.failed = self._is_failing(name, now - self.start_at)
         delay_s = (
             FAILURE_DELAY_S
             if attempt.failed
@@ -164,10 +167,22 @@
             if number != attempt.member:
                 pool.record_peer_use(name, f"m{attempt.member}", use)
 
-    def count_receiving(self, since: float, until: float) -> set[str]:
-        """Return the upstreams that received a request in a time span."""
+    def list_receipts(self) -> dict[str, list[float]]:
+        """Return when each upstream received a request.
+
+        The times of the start and of the end are included.
+        """
         return {
-            name
+            name: [self.start_at, *times, self.clock.now]
             for name, times in self.received.items()
-            if any(since < at <= until for at in times)
         }
+
+    def count_receiving(self, since_s: float, until_s: float) -> int:
+        """Return the upstreams that received a request in a time span.
+
+        Times are in seconds since the start.
+        """
+        return sum(
+            any(since_s <= at - self.start_at < until_s for at in times)
+            for times in self.received.values()
+        )
