--- a/src/hawthornmast/gateway/services.py
+++ b/src/hawthornmast/gateway/services.py
@@ -165,6 +165,7 @@
             clock=trio.current_time,
             random=random_source,
             zone=zone,
+            floor_share=bounds.floor_share,
             may_send_trial=lambda: (
                 self.budget.remaining_fraction() >= MIN_TRIAL_BUDGET_FRACTION
             ),
--- a/src/hawthornmast/health/belief.py
+++ b/src/hawthornmast/health/belief.py
@@ -119,6 +119,10 @@
         """Return the probability at the given time."""
         return self._model.predict(self._probability, now - self._updated_at)
 
+    def is_doubtful(self) -> bool:
+        """Return whether a failure is likelier than without observations."""
+        return self._probability > self._model.stationary_probability
+
     def observe(
         self, now: float, observation: Observation, *, sent_at: float
     ) -> bool:
--- a/src/hawthornmast/limits/coverage.py
+++ b/src/hawthornmast/limits/coverage.py
@@ -17,13 +17,23 @@
 COVERAGE_WINDOW_S = 2.0
 """Time within which a healthy upstream must receive a request."""
 
-FLOOR_FAILURE_SHARE = 0.05
-"""Fraction of failed requests of the service, within ``RECOVERY_S``, above
-which all healthy upstreams must receive requests."""
+COVERAGE_INTERVAL_S = 1.0
+"""Time without a request after which a healthy upstream is due for one."""
 
-FLOOR_MIN_FAILURES = 3
-"""Minimum number of these failed requests, so that one or two failures among
-few requests have no effect."""
+COVERAGE_DELAY_S = 0.3
+"""Time by which an upstream is due later for a request that can't be retried,
+and again for a member of another zone. Requests that can bear a failure and
+stay in the zone thus go first. With both delays an upstream is still due
+within ``COVERAGE_WINDOW_S``."""
+
+MAX_COVERAGE_FRACTION = 0.5
+"""Maximum fraction of requests that go to an upstream because it is due. A
+service with few requests would otherwise send each one to an upstream about
+which nothing recent is known."""
+
+COVERAGE_BURST = 10.0
+"""Number of these requests that may exceed ``MAX_COVERAGE_FRACTION`` for a
+short time, such as when upstreams are added."""
 
 
 @attrs.frozen(kw_only=True)
@@ -84,10 +94,23 @@
             self._failed -= not succeeded
         return self._failed, len(self._outcomes)
 
-    def exceeds_floor_share(self) -> bool:
-        """Return whether so many requests fail that the floor applies."""
-        failed, finished = self.count()
-        return (
-            failed >= FLOOR_MIN_FAILURES
-            and failed > FLOOR_FAILURE_SHARE * finished
+
+class CoverageAllowance:
+    """Token bucket of the requests that keep upstreams covered."""
+
+    def __init__(self) -> None:
+        self._tokens = COVERAGE_BURST
+
+    def count_request(self) -> None:
+        """Add the share of one request."""
+        self._tokens = min(
+            COVERAGE_BURST, self._tokens + MAX_COVERAGE_FRACTION
         )
+
+    def is_available(self) -> bool:
+        """Return whether a request may go to an upstream that is due."""
+        return self._tokens >= 1.0
+
+    def spend(self) -> None:
+        """Count a request that went to an upstream that is due."""
+        self._tokens -= 1.0
--- a/src/hawthornmast/limits/shared.py
+++ b/src/hawthornmast/limits/shared.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from collections.abc import Container
 from collections.abc import Iterable
+import math
 import random as random_module
 
 import attrs
@@ -18,7 +19,10 @@
 from hawthornmast.health.belief import Belief
 from hawthornmast.health.belief import Observation
 from hawthornmast.limits.coverage import Coverage
+from hawthornmast.limits.coverage import COVERAGE_DELAY_S
+from hawthornmast.limits.coverage import COVERAGE_INTERVAL_S
 from hawthornmast.limits.coverage import COVERAGE_WINDOW_S
+from hawthornmast.limits.coverage import CoverageAllowance
 from hawthornmast.limits.coverage import OutcomeWindow
 from hawthornmast.limits.coverage import RECOVERY_S
 
@@ -54,10 +58,11 @@
 PEER_USE_TTL_S = 2.5
 """Validity of the use that a peer reported."""
 
-FLOOR_INTERVAL_S = 1.0
-"""Interval in which each healthy upstream receives at least one request while
-more than ``FLOOR_FAILURE_SHARE`` of the service's requests fail. The floor
-then limits how many healthy upstreams may be left without requests."""
+TRIAL_PRIORITY = 2.0
+"""Deduction from the cost of an upstream that receives a trial request."""
+
+COVERAGE_PRIORITY = 1.0
+"""Deduction from the cost of an upstream that is due for a request."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -70,8 +75,8 @@
     listed: bool = True
     # Whether the address now serves another upstream.
     moved: bool = False
-    # Time of the last request by any daemon, as known here; -1 for none yet.
-    last_request_at: float = -1.0
+    # Time of the last request by any daemon, as known here.
+    last_request_at: float = -math.inf
     # Time since which requests of this daemon have had no response.
     waiting_since: float = 0.0
     backoff_until: float = 0.0
@@ -98,13 +103,51 @@
             and self.upstream.state is State.LIVE
         )
 
+    def is_healthy(self, now: float) -> bool:
+        """Return whether the floor counts the upstream as healthy."""
+        return (
+            self.is_candidate()
+            and now - self.belief.last_failure_at > RECOVERY_S
+        )
+
+
+@attrs.frozen(kw_only=True)
+class _Selection:
+    """What the selection of an upstream for one request depends on.
+
+    Parameters
+    ----------
+    now
+        Monotonic time in seconds.
+    max_probability
+        Highest probability of failure at which an upstream is selected.
+    may_try
+        Whether the request may be a trial of a doubtful upstream.
+    may_cover
+        Whether the request may go to an upstream because it is due for one.
+    due_after_s
+        Time without a request after which an upstream of this zone is due.
+    is_below_floor
+        Whether upstreams that are believed to fail are due as well.
+    """
+
+    now: float
+    max_probability: float
+    may_try: bool
+    may_cover: bool
+    due_after_s: float
+    is_below_floor: bool
+
 
 class SharedPool:
     """Selects the upstream with the lowest probability of failure.
 
     While ``explores`` is set, some requests are sent to upstreams that are
-    new or may have recovered. Daemons that receive few requests leave this
-    to their peers, because each upstream tried costs a connection.
+    new, may have recovered or had no request for a while. Without the latter,
+    requests would stay on as many upstreams as they fill: the probability of
+    the others rises while nothing is observed. Daemons that receive few
+    requests leave this to their peers, because each upstream tried costs a
+    connection.
 
     Parameters
     ----------
@@ -114,6 +157,9 @@
         Random number generator that breaks ties.
     zone
         Zone of this daemon; upstreams in it are preferred.
+    floor_share
+        Share of the healthy upstreams that must receive requests, even if
+        they are believed to fail.
     may_send_trial
         Returns whether the retry budget has room for trial requests, which
         are likely to need a second attempt.
@@ -130,18 +176,21 @@
         clock: Callable[[], float],
         random: random_module.Random,
         zone: str = "",
+        floor_share: float = 0.7,
         may_send_trial: Callable[[], bool] = lambda: True,
         on_change: Callable[[str, str, float, str], None] | None = None,
     ) -> None:
         self._clock = clock
         self._random = random
         self._zone = zone
+        self._floor_share = floor_share
         self._may_send_trial = may_send_trial
         self._on_change = on_change
         self.members: dict[str, PooledUpstream] = {}
         self.silence_timeout_s = SILENCE_TIMEOUT_S
         self.explores = True
         self._outcomes = OutcomeWindow(clock)
+        self._allowance = CoverageAllowance()
 
     def update(self, upstreams: Iterable[Upstream]) -> None:
         """Replace the upstreams; requests on removed ones may finish."""
@@ -184,68 +233,122 @@
             Fraction of the request's time that is left, from 1 to 0.
         """
         now = self._clock()
-        trial = (
-            self.explores
-            and retryable
-            and not exclude
-            and self._may_send_trial()
+        selection = self._make_selection(
+            now,
+            retryable=retryable,
+            is_retry=bool(exclude),
+            time_left_fraction=time_left_fraction,
         )
-        limit = MAX_FAILURE_PROBABILITY + (
-            1.0 - MAX_FAILURE_PROBABILITY
-        ) * min(1.0, 2.0 * (1.0 - time_left_fraction))
-        must_spread = self.explores and self._outcomes.exceeds_floor_share()
-        # The lowest cost wins. Offsets put trials (-2) first, then upstreams
-        # that are new or due for a request under the floor (-1 each); the
-        # random term up to 0.001 breaks ties. The initial cost exceeds any
-        # other.
         best: PooledUpstream | None = None
-        best_cost = 1e9
+        best_cost = math.inf
         for key, member in self.members.items():
-            if key in exclude or not member.is_candidate():
+            if key in exclude or not self._is_available(member, now):
                 continue
-            slots = member.upstream.slots
-            use = member.count_use(now)
-            if use >= slots:
+            cost = self._compute_cost(member, selection)
+            if cost is None:
                 continue
-            if now < member.backoff_until or (
-                member.in_use
-                and now - member.waiting_since > self.silence_timeout_s
-            ):
-                continue
-            probability = member.belief.probability_at(now)
-            cost = probability + UTILIZATION_COST * use / slots
-            if member.upstream.zone != self._zone:
-                cost += CROSS_ZONE_COST
-            if (
-                trial
-                and probability > TRIAL_MIN_PROBABILITY
-                and not use
-                and now - member.last_request_at > TRIAL_INTERVAL_S
-            ):
-                cost -= 2.0
-            elif probability > limit:
-                continue
-            if self.explores and member.last_request_at < 0.0:
-                # A new upstream has no observations until it receives one
-                # request.
-                cost -= 1.0
-            if (
-                must_spread
-                and now - member.last_request_at > FLOOR_INTERVAL_S
-                and now - member.belief.last_failure_at > RECOVERY_S
-            ):
-                cost -= 1.0
+            # The random term breaks ties.
             cost += self._random.random() * 1e-3
             if cost < best_cost:
                 best, best_cost = member, cost
         if best is None:
             return None
+        self._allowance.count_request()
+        if self._is_due(best, selection):
+            self._allowance.spend()
         if not best.in_use:
             best.waiting_since = now
         best.in_use += 1
         best.last_request_at = now
         return best.upstream
 
+    def _make_selection(
+        self,
+        now: float,
+        *,
+        retryable: bool,
+        is_retry: bool,
+        time_left_fraction: float,
+    ) -> _Selection:
+        waited_fraction = min(1.0, 2.0 * (1.0 - time_left_fraction))
+        return _Selection(
+            now=now,
+            max_probability=MAX_FAILURE_PROBABILITY
+            + (1.0 - MAX_FAILURE_PROBABILITY) * waited_fraction,
+            may_try=(
+                self.explores
+                and retryable
+                and not is_retry
+                and self._may_send_trial()
+            ),
+            may_cover=self.explores and self._allowance.is_available(),
+            due_after_s=COVERAGE_INTERVAL_S
+            + (0.0 if retryable else COVERAGE_DELAY_S),
+            is_below_floor=self.explores and self._is_below_floor(now),
+        )
+
+    def _is_below_floor(self, now: float) -> bool:
+        """Return whether too few healthy upstreams receive requests."""
+        latest_due_s = COVERAGE_INTERVAL_S + 2 * COVERAGE_DELAY_S
+        healthy = 0
+        receiving = 0
+        for member in self.members.values():
+            if member.is_healthy(now):
+                healthy += 1
+                receiving += now - member.last_request_at <= latest_due_s
+        return receiving < self._floor_share * healthy
+
+    def _is_available(self, member: PooledUpstream, now: float) -> bool:
+        """Return whether an upstream is reachable and has a free slot."""
+        is_silent = (
+            member.in_use > 0
+            and now - member.waiting_since > self.silence_timeout_s
+        )
+        return (
+            member.is_candidate()
+            and now >= member.backoff_until
+            and not is_silent
+            and member.count_use(now) < member.upstream.slots
+        )
+
+    def _compute_cost(
+        self, member: PooledUpstream, selection: _Selection
+    ) -> float | None:
+        """Return the cost of an upstream, None if it is not eligible.
+
+        The lowest cost is selected: trials first, then upstreams that are
+        due, then by probability of failure and use.
+        """
+        use = member.count_use(selection.now)
+        probability = member.belief.probability_at(selection.now)
+        cost = probability + UTILIZATION_COST * use / member.upstream.slots
+        if member.upstream.zone != self._zone:
+            cost += CROSS_ZONE_COST
+        if (
+            selection.may_try
+            and probability > TRIAL_MIN_PROBABILITY
+            and not use
+            and selection.now - member.last_request_at > TRIAL_INTERVAL_S
+        ):
+            return cost - TRIAL_PRIORITY
+        if self._is_due(member, selection):
+            return cost - COVERAGE_PRIORITY
+        if probability > selection.max_probability:
+            return None
+        return cost
+
+    def _is_due(self, member: PooledUpstream, selection: _Selection) -> bool:
+        """Return whether a healthy upstream had no request for too long."""
+        due_after_s = selection.due_after_s
+        if member.upstream.zone != self._zone:
+            due_after_s += COVERAGE_DELAY_S
+        return (
+            selection.may_cover
+            and selection.now - member.last_request_at > due_after_s
+            and member.is_healthy(selection.now)
+            and (selection.is_below_floor or not member.belief.is_doubtful())
+        )
+
     def release(self, upstream_id: str) -> None:
         """Release a slot taken by ``take``."""
         member = self.members.get(upstream_id)
@@ -364,8 +467,7 @@
         healthy = [
             member
             for member in self.members.values()
-            if member.is_candidate()
-            and now - member.belief.last_failure_at > RECOVERY_S
+            if member.is_healthy(now)
         ]
         failed, finished = self._outcomes.count()
         return Coverage(
--- a/src/hawthornmast/limits/tests/test_shared.py
+++ b/src/hawthornmast/limits/tests/test_shared.py
@@ -9,7 +9,8 @@
 from hawthornmast.common import Upstream
 from hawthornmast.health.belief import Observation
 from hawthornmast.limits import SharedPool
-from hawthornmast.limits.shared import FLOOR_INTERVAL_S
+from hawthornmast.limits.coverage import COVERAGE_DELAY_S
+from hawthornmast.limits.coverage import COVERAGE_INTERVAL_S
 from hawthornmast.limits.shared import INITIAL_BACKOFF_S
 from hawthornmast.limits.shared import PEER_USE_TTL_S
 from hawthornmast.limits.shared import SILENCE_TIMEOUT_S
@@ -60,6 +61,21 @@
                 name, Observation.FAILED, sent_at=200.0
             )
 
+    def use(self, name: str) -> None:
+        """Record that a peer sent an upstream a request and got an answer."""
+        self.pool.record_peer_use(name, "peer", 1)
+        self.pool.record_peer_use(name, "peer", 0)
+
+    def take_name(self, *, retryable: bool = False) -> str:
+        """Let the selected upstream answer a request; return its name."""
+        taken = self.pool.take(retryable=retryable)
+        assert taken is not None
+        self.pool.record_observation(
+            taken.upstream_id, Observation.SUCCEEDED, sent_at=200.0
+        )
+        self.pool.release(taken.upstream_id)
+        return taken.upstream_id
+
     def take_all(self, **options: object) -> list[str]:
         """Take slots until none is available."""
         names = []
@@ -177,16 +193,19 @@
         harness.pool.update([make_upstream("u1", port=2)])
         assert harness.pool.take() is not None
 
-    def test_spreads_over_healthy_upstreams_while_requests_fail(self) -> None:
-        # The floor: while a tenth of the requests fails, at least the
-        # floor's share of the healthy upstreams must receive requests. The
-        # pool starts this at FLOOR_FAILURE_SHARE (5%); here a fifth fails.
+    @pytest.mark.parametrize("failing", [False, True])
+    def test_spreads_over_healthy_upstreams(self, failing: bool) -> None:
+        # The floor: while a tenth of the requests fails, at least the floor's
+        # share of the healthy upstreams must receive requests. Members may
+        # see the failures too late, so the pool doesn't wait for them.
         names = [f"u{number}" for number in range(6)]
         harness = PoolHarness(*map(make_upstream, names))
         harness.touch_all()
         for number in range(20):
-            harness.pool.record_request_outcome(succeeded=number % 5 != 0)
-        harness.clock.now += FLOOR_INTERVAL_S + 0.1
+            harness.pool.record_request_outcome(
+                succeeded=not failing or number % 5 != 0
+            )
+        harness.clock.now += COVERAGE_INTERVAL_S + COVERAGE_DELAY_S + 0.1
         taken = set()
         for _ in range(6):
             upstream = harness.pool.take(retryable=False)
@@ -198,6 +217,36 @@
             harness.pool.release(upstream.upstream_id)
         assert taken == set(names)
 
+    def test_retryable_requests_of_the_zone_cover_upstreams_first(
+        self,
+    ) -> None:
+        # Guards against work that can't be repeated, and bytes between zones,
+        # where other requests can keep an upstream in use.
+        harness = PoolHarness(
+            make_upstream("u1"), make_upstream("u2", zone="b")
+        )
+        harness.touch_all()
+        harness.use("u1")
+        harness.clock.now += COVERAGE_INTERVAL_S + 0.1
+        harness.use("u1")
+        assert harness.take_name(retryable=False) == "u1"
+        assert harness.take_name(retryable=True) == "u1"
+        harness.clock.now += COVERAGE_DELAY_S
+        harness.use("u1")
+        assert harness.take_name(retryable=False) == "u1"
+        assert harness.take_name(retryable=True) == "u2"
+
+    def test_few_requests_stay_on_known_upstreams(self) -> None:
+        # Guards against a service with few requests that sends each of them
+        # to an upstream about which nothing recent is known.
+        names = [f"u{number:02}" for number in range(40)]
+        harness = PoolHarness(*map(make_upstream, names))
+        used = []
+        for _ in range(100):
+            used.append(harness.take_name())
+            harness.clock.now += 0.5
+        assert len(set(used[50:])) <= 26
+
 
 class TestPaths:
     """Network faults of one member do not count as upstream failures."""
