--- a/src/hawthornmast/forwarding/forwarder.py
+++ b/src/hawthornmast/forwarding/forwarder.py
@@ -1,6 +1,7 @@
 """Forwards client requests to upstreams and determines their outcome."""
 
 from collections.abc import Callable
+import functools
 import math
 
 import attrs
@@ -342,6 +343,9 @@
                     if request.is_http10
                     else self._buffer_bytes
                 ),
+                accepts_head=functools.partial(
+                    matches_request, request=request
+                ),
             )
             if isinstance(result, Err):
                 evidence = classify_error(result.err_value, progress)
--- a/src/hawthornmast/forwarding/relaying.py
+++ b/src/hawthornmast/forwarding/relaying.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+import functools
 
 from result import Err
 
@@ -102,6 +103,9 @@
                         if request.is_http10
                         else self._buffer_bytes
                     ),
+                    accepts_head=functools.partial(
+                        matches_request, request=request
+                    ),
                 )
                 if not isinstance(result, Err):
                     return await _deliver_relayed(
--- a/src/hawthornmast/forwarding/upstream.py
+++ b/src/hawthornmast/forwarding/upstream.py
@@ -22,6 +22,14 @@
 
 _READ_BYTES = 65536
 _MAX_HEADER_BYTES = 32768
+_MAX_INFORMATIONAL_RESPONSES = 8
+"""Maximum number of informational responses before the final one."""
+
+_HEAD_TIMEOUT_S = 1.0
+"""Timeout for the rest of a response head once a part of it has arrived. A
+head fits into one or two packets, and a lost one is sent again within this
+time."""
+
 _BODILESS_STATUSES = frozenset({204, 304})
 _TCP_USER_TIMEOUT_MS = 1500
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"\btimeout\s*=\s*(\d{1,6})\b", re.I)
@@ -181,6 +189,14 @@
             else:
                 raise h11.RemoteProtocolError("connection closed early")
 
+    async def fill_buffer(self, size: int) -> None:
+        """Read the body until it is complete or exceeds ``size`` bytes."""
+        while len(self.body) <= size:
+            chunk = await self.read()
+            if not chunk:
+                return
+            self.body += chunk
+
     def release(self, *, reusable: bool) -> None:
         """Return the connection to its pool, or close it.
 
@@ -246,6 +262,7 @@
         new_connection: bool,
         buffer_bytes: int,
         max_idle_s: float = math.inf,
+        accepts_head: Callable[[Exchange], bool] = lambda exchange: True,
     ) -> Result[Exchange, StepError]:
         """Send a request and read its response up to ``buffer_bytes``.
 
@@ -260,6 +277,9 @@
             Don't use a pooled connection.
         max_idle_s
             Don't use a connection that was idle for longer.
+        accepts_head
+            Returns whether the head is one of a response to the request. If
+            not, its body is not read, because it may never end.
         """
         conn: _UpstreamConnection | None = None
         succeeded = False
@@ -297,11 +317,8 @@
                 sent += await sockets.send_some(conn.sock, data[sent:])
             step = "read"
             exchange = await self._read_head(conn, request, progress)
-            while len(exchange.body) <= buffer_bytes:
-                chunk = await exchange.read()
-                if not chunk:
-                    break
-                exchange.body += chunk
+            if accepts_head(exchange):
+                await exchange.fill_buffer(buffer_bytes)
             succeeded = True
             return Ok(exchange)
         except (OSError, h11.RemoteProtocolError) as error:
@@ -416,9 +433,11 @@
         # Pooled connections have no unread data, and receiving first is
         # cheaper than asking h11 for an event.
         need_data = True
+        head_deadline = math.inf
+        informational_count = 0
         while True:
             if need_data:
-                data = await sockets.receive(conn.sock, _READ_BYTES)
+                data = await _receive_by(conn.sock, head_deadline)
                 progress.response_started = progress.response_started or bool(
                     data
                 )
@@ -427,8 +446,17 @@
             need_data = event is h11.NEED_DATA
             if type(event) is h11.Response:
                 break
-            if not need_data and type(event) is not h11.InformationalResponse:
+            if type(event) is h11.InformationalResponse:
+                informational_count += 1
+                head_deadline = math.inf
+                if informational_count > _MAX_INFORMATIONAL_RESPONSES:
+                    raise h11.RemoteProtocolError(
+                        "too many informational responses"
+                    )
+            elif not need_data:
                 raise h11.RemoteProtocolError("connection closed early")
+            elif head_deadline == math.inf and h11_connection.trailing_data[0]:
+                head_deadline = self._clock() + _HEAD_TIMEOUT_S
         exchange = Exchange(self, conn, event)
         _check_framing(
             exchange, event, request.method, self._allow_close_delimited
@@ -437,6 +465,15 @@
         return exchange
 
 
+async def _receive_by(sock: socket.socket, deadline: float) -> bytes:
+    """Receive data, or raise TimeoutError at the deadline."""
+    if deadline == math.inf:
+        return await sockets.receive(sock, _READ_BYTES)
+    with trio.move_on_at(deadline):
+        return await sockets.receive(sock, _READ_BYTES)
+    raise TimeoutError(f"response head incomplete after {_HEAD_TIMEOUT_S} s")
+
+
 def _check_framing(
     exchange: Exchange,
     head: h11.Response,
--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -255,6 +255,11 @@
                 max_idle_s=math.inf
                 if context.route.idempotent
                 else NON_IDEMPOTENT_MAX_IDLE_S,
+                accepts_head=lambda exchange: (
+                    self._dialect.assess_response(
+                        exchange, context.request
+                    ).valid
+                ),
             )
             if context.progress.started:
                 context.attempted_ids.add(upstream.upstream_id)
@@ -307,21 +312,16 @@
         elapsed_s: float,
     ) -> ClientResponse | None:
         assessment = self._dialect.assess_response(exchange, context.request)
-        valid = assessment.matches_request and assessment.intact
+        valid = assessment.valid
         try:
             if assessment.misdirected:
                 context.state.pool.mark_moved(upstream.upstream_id)
             if assessment.not_executed:
                 return self._handle_rejection(context, upstream)
-            failed = not valid or exchange.status >= 500
             mean_s = context.state.mean_latency_s(context.route.name)
-            self._record_observation(
-                context,
-                upstream,
-                failed=failed,
-                late=valid and elapsed_s >= LATE_FAILURE_FRACTION * mean_s,
-            )
+            late = elapsed_s >= LATE_FAILURE_FRACTION * mean_s
             if not valid:
+                self._record_observation(context, upstream, failed=True)
                 return self._handle_failure(
                     context,
                     upstream,
@@ -337,17 +337,34 @@
                 content_length=exchange.header(b"content-length"),
             )
             if not exchange.complete:
-                answer.streamed = True
-                answer.truncated = not await context.deliver(answer, exchange)
-                if answer.truncated:
-                    answer.outcome = Outcome.UNKNOWN
-                return answer
-            if exchange.status >= 500:
+                await self._stream_response(context, answer, exchange)
+            # The head of a response that then breaks off is no success, and
+            # no failure if the client left.
+            if not (answer.truncated and context.trace.client_disconnected):
+                self._record_observation(
+                    context,
+                    upstream,
+                    failed=answer.truncated or exchange.status >= 500,
+                    late=late and not answer.truncated,
+                )
+            if exchange.status >= 500 and not answer.streamed:
                 return self._handle_failure(context, upstream, answer)
             return answer
         finally:
             exchange.release(reusable=valid)
 
+    async def _stream_response(
+        self,
+        context: _RequestContext,
+        answer: ClientResponse,
+        exchange: Exchange,
+    ) -> None:
+        """Pass on a response that is too long to be buffered."""
+        answer.streamed = True
+        answer.truncated = not await context.deliver(answer, exchange)
+        if answer.truncated:
+            answer.outcome = Outcome.UNKNOWN
+
     def _handle_rejection(
         self, context: _RequestContext, upstream: Upstream
     ) -> ClientResponse | None:
--- a/src/hawthornmast/gateway/upstreams.py
+++ b/src/hawthornmast/gateway/upstreams.py
@@ -32,6 +32,11 @@
     not_executed: bool = False
     misdirected: bool = False
 
+    @property
+    def valid(self) -> bool:
+        """Whether the response answers the request."""
+        return self.matches_request and self.intact
+
 
 class UpstreamDialect(Protocol):
     """Headers exchanged with upstreams."""
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -41,6 +41,14 @@
         Close a keep-alive connection when a second request arrives on it.
     late_s
         Seconds between the end of the execution and the response.
+    endless
+        What is sent without end, until the connection is closed, in place of
+        a response: ``header`` (one header line), ``informational``
+        (responses with status 103), ``unsigned`` (a body after a head that no
+        execution produced), ``body`` (a body after the head of the response)
+        or empty for none of these.
+    endless_pause_s
+        Seconds between two pieces of 1 KiB of an endless response.
     crossed
         Send the response of the previous request.
     two_lengths
@@ -78,6 +86,8 @@
     old: bool = False
     refuse_reused: bool = False
     late_s: float = 0.0
+    endless: str = ""
+    endless_pause_s: float = 0.0
     crossed: bool = False
     two_lengths: bool = False
     informational: bool = False
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -19,6 +19,7 @@
 
 _log = logging.getLogger(__name__)
 _HEALTH_PATHS = {b"/health", b"/load"}
+_ENDLESS_PIECE_BYTES = 1024
 
 
 @attrs.define(kw_only=True)
@@ -257,6 +258,9 @@
         )
         if faults.crossed and previous is not None:
             headers, content = previous
+        if faults.endless:
+            await _send_endless(stream, status, headers, faults)
+            return False
         return await self._send(
             stream, connection, request, status, headers, content, faults
         )
@@ -378,6 +382,31 @@
     return response[:30] if faults.cut == "head" else response
 
 
+async def _send_endless(
+    stream: trio.SocketStream,
+    status: int,
+    headers: list[tuple[bytes, bytes]],
+    faults: Faults,
+) -> None:
+    """Send bytes without end, until the peer closes the connection."""
+    lines = [b"HTTP/1.1 %d Answer" % status]
+    piece = b"x" * _ENDLESS_PIECE_BYTES
+    if faults.endless == "header":
+        head = b"\r\n".join([*lines, b"X-Endless: "])
+    elif faults.endless == "informational":
+        head = b""
+        hint = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+        piece = hint * (_ENDLESS_PIECE_BYTES // len(hint))
+    else:
+        if faults.endless == "body":
+            lines += [name + b": " + value for name, value in headers]
+        head = b"\r\n".join(lines) + b"\r\n\r\n"
+    await stream.send_all(head)
+    while True:
+        await stream.send_all(piece)
+        await trio.sleep(faults.endless_pause_s)
+
+
 async def run_process(options: argparse.Namespace) -> None:
     """Serve on both ports until the process ends."""
     faults = Faults(
--- /dev/null
+++ b/tests/test_endless_responses.py
@@ -0,0 +1,92 @@
+"""Tests of upstreams that send bytes without end in place of a response."""
+
+import pytest
+from result import UnwrapError
+import trio
+
+from hawthornmast.health.belief import DEFAULT_MODEL
+from tests.test_platform_path import run_deployment
+from tests.test_platform_path import set_faults
+
+NO_RESPONSE = ("header", "informational", "unsigned")
+"""Endless bytes that show by their head that they are no response."""
+
+TIMEOUT_S = 3.0
+
+FAST_PAUSE_S = 0.002
+"""Pause between pieces, so that the client reads faster than they come."""
+
+TRUNCATED = "connection closed|incomplete|response is too long"
+"""What the client says of a truncated response; it reads at most 8 MiB."""
+
+SLOW_PAUSE_S = 0.2
+"""Pause between pieces, so that size limits are not reached within
+``TIMEOUT_S``."""
+
+
+@pytest.mark.parametrize("pause_s", [0.0, SLOW_PAUSE_S])
+@pytest.mark.parametrize("endless", NO_RESPONSE)
+class TestEndlessBytes:
+    """Bytes that are no response end the attempt, not the request's time."""
+
+    async def test_idempotent_request_is_served_by_another_upstream(
+        self, endless: str, pause_s: float
+    ) -> None:
+        async with run_deployment(boxes=2) as deployment:
+            bad = deployment.backends["boxes-0"]
+            bad.faults.endless = endless
+            bad.faults.endless_pause_s = pause_s
+            for _ in range(4):
+                response = await deployment.send("GET", "/read/1")
+                assert response.status == 200
+            assert bad.requests
+
+    async def test_other_request_ends_as_unknown_before_its_deadline(
+        self, endless: str, pause_s: float
+    ) -> None:
+        async with run_deployment() as deployment:
+            set_faults(deployment, endless=endless, endless_pause_s=pause_s)
+            with trio.fail_after(0.7 * TIMEOUT_S):
+                response = await deployment.send(
+                    "POST", "/charge/1", host="pay.example"
+                )
+            assert response.status == 502
+            assert deployment.count_runs() == 1
+
+    async def test_connection_is_closed(
+        self, endless: str, pause_s: float
+    ) -> None:
+        # Guards against a peer that sends to this daemon until it restarts.
+        async with run_deployment(boxes=1) as deployment:
+            set_faults(deployment, endless=endless, endless_pause_s=pause_s)
+            await deployment.send("GET", "/read/1")
+            await trio.sleep(3 * SLOW_PAUSE_S)
+            assert deployment.backends["boxes-0"].open_connections == 0
+
+
+class TestEndlessBody:
+    """A body without end is cut at the deadline and never looks complete."""
+
+    async def test_client_sees_a_truncated_response(self) -> None:
+        async with run_deployment(boxes=1) as deployment:
+            set_faults(deployment, endless="body")
+            with pytest.raises(UnwrapError, match=TRUNCATED):
+                await deployment.send("GET", "/read/1", timeout_ms=800)
+            await trio.sleep(0.1)
+            assert deployment.backends["boxes-0"].open_connections == 0
+
+    async def test_upstream_counts_as_failing(self) -> None:
+        # Guards against requests that keep going to such an upstream because
+        # the head of its response counts as a success.
+        async with run_deployment(boxes=1) as deployment:
+            set_faults(
+                deployment, endless="body", endless_pause_s=FAST_PAUSE_S
+            )
+            with pytest.raises(UnwrapError, match=TRUNCATED):
+                await deployment.send("GET", "/read/1")
+            state = deployment.members[0].services.find("boxes")
+            assert state is not None
+            assert (
+                state.pool.failure_probability("boxes-0")
+                > DEFAULT_MODEL.stationary_probability
+            )
