--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -18,6 +18,7 @@
 from hawthornmast.common import Outcome
 from hawthornmast.common import Upstream
 from hawthornmast.forwarding.delivery import Deliver
+from hawthornmast.forwarding.delivery import HTTP10_BUFFER_BYTES
 from hawthornmast.forwarding.delivery import OpenScope
 from hawthornmast.forwarding.messages import build_error_response
 from hawthornmast.forwarding.messages import ClientRequest
@@ -251,7 +252,11 @@
                 context.progress,
                 deadline=context.deadline,
                 new_connection=bool(context.attempted_ids),
-                buffer_bytes=RESPONSE_BUFFER_BYTES,
+                buffer_bytes=(
+                    HTTP10_BUFFER_BYTES
+                    if context.request.is_http10
+                    else RESPONSE_BUFFER_BYTES
+                ),
                 max_idle_s=math.inf
                 if context.route.idempotent
                 else NON_IDEMPOTENT_MAX_IDLE_S,
@@ -337,6 +342,10 @@
                 content_length=exchange.header(b"content-length"),
             )
             if not exchange.complete:
+                if context.request.is_http10:
+                    return build_error_response(
+                        502, "too-long", outcome=Outcome.UNKNOWN
+                    )
                 await self._stream_response(context, answer, exchange)
             # The head of a response that then breaks off is no success, and
             # no failure if the client left.
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -5,6 +5,7 @@
 import trio
 
 from hawthornmast.health.belief import DEFAULT_MODEL
+from standins.deployment import FRONT_PORT
 from tests.test_platform_path import run_deployment
 from tests.test_platform_path import set_faults
 
@@ -90,3 +91,17 @@
                 state.pool.failure_probability("boxes-0")
                 > DEFAULT_MODEL.stationary_probability
             )
+
+    async def test_http10_client_gets_no_part_of_it(self) -> None:
+        # Such a client takes the end of the connection as the end of a body.
+        async with run_deployment(boxes=1) as deployment:
+            set_faults(deployment, endless="body")
+            host = deployment.members[0].options.instance.host
+            stream = await trio.open_tcp_stream(host, FRONT_PORT)
+            await stream.send_all(
+                b"GET /read/1 HTTP/1.0\r\nHost: boxes.example\r\n"
+                b"Hawthornmast-Attempt-Id: a\r\n"
+                b"Hawthornmast-Request-Deadline: 800\r\n\r\n"
+            )
+            received = b"".join([chunk async for chunk in stream])
+            assert received.startswith(b"HTTP/1.1 502 ")
