--- a/src/hawthornmast/forwarding/connection.py
+++ b/src/hawthornmast/forwarding/connection.py
@@ -11,6 +11,7 @@
 from hawthornmast.forwarding.delivery import Deliver
 from hawthornmast.forwarding.delivery import OpenScope
 from hawthornmast.forwarding.dialect import Dialect
+from hawthornmast.forwarding.exchange import Exchange
 from hawthornmast.forwarding.headers import RawHeaders
 from hawthornmast.forwarding.messages import BadInputError
 from hawthornmast.forwarding.messages import build_error_response
@@ -21,7 +22,6 @@
 from hawthornmast.forwarding.parsing import ClientLimits
 from hawthornmast.forwarding.parsing import parse_head
 from hawthornmast.forwarding.serialization import write_response
-from hawthornmast.forwarding.upstream import Exchange
 
 _READ_BYTES = 16_384
 _BODILESS_STATUSES = frozenset({204, 304})
--- a/src/hawthornmast/forwarding/delivery.py
+++ b/src/hawthornmast/forwarding/delivery.py
@@ -5,8 +5,8 @@
 
 import trio
 
+from hawthornmast.forwarding.exchange import Exchange
 from hawthornmast.forwarding.messages import ClientResponse
-from hawthornmast.forwarding.upstream import Exchange
 
 BUFFER_BYTES = 65_536
 # An HTTP/1.0 client cannot detect a truncated body, so its responses are
--- a/src/hawthornmast/forwarding/evidence.py
+++ b/src/hawthornmast/forwarding/evidence.py
@@ -3,10 +3,10 @@
 from hawthornmast.catalogue import Entry
 from hawthornmast.catalogue import Service
 from hawthornmast.common import StepError
+from hawthornmast.forwarding.exchange import Exchange
+from hawthornmast.forwarding.exchange import Progress
 from hawthornmast.forwarding.messages import ClientRequest
 from hawthornmast.forwarding.messages import Trace
-from hawthornmast.forwarding.upstream import Exchange
-from hawthornmast.forwarding.upstream import Progress
 from hawthornmast.health import Evidence
 
 # A timeout is evidence against an upstream only if it had at least this
--- a/src/hawthornmast/forwarding/forwarder.py
+++ b/src/hawthornmast/forwarding/forwarder.py
@@ -24,6 +24,7 @@
 from hawthornmast.forwarding.evidence import is_client_timeout
 from hawthornmast.forwarding.evidence import is_shed
 from hawthornmast.forwarding.evidence import matches_request
+from hawthornmast.forwarding.exchange import Progress
 from hawthornmast.forwarding.headers import filter_headers
 from hawthornmast.forwarding.headers import RawHeaders
 from hawthornmast.forwarding.messages import build_error_response
@@ -42,7 +43,6 @@
 from hawthornmast.forwarding.translation import build_unavailable_response
 from hawthornmast.forwarding.translation import build_wrong_instance_response
 from hawthornmast.forwarding.translation import digest_request
-from hawthornmast.forwarding.upstream import Progress
 from hawthornmast.forwarding.upstream import UpstreamClient
 from hawthornmast.health import Evidence
 
--- a/src/hawthornmast/forwarding/relaying.py
+++ b/src/hawthornmast/forwarding/relaying.py
@@ -15,6 +15,8 @@
 from hawthornmast.forwarding.delivery import MAX_ATTEMPTS
 from hawthornmast.forwarding.delivery import OpenScope
 from hawthornmast.forwarding.evidence import matches_request
+from hawthornmast.forwarding.exchange import Exchange
+from hawthornmast.forwarding.exchange import Progress
 from hawthornmast.forwarding.headers import filter_headers
 from hawthornmast.forwarding.messages import build_error_response
 from hawthornmast.forwarding.messages import ClientRequest
@@ -24,8 +26,6 @@
 from hawthornmast.forwarding.translation import build_request
 from hawthornmast.forwarding.translation import build_response
 from hawthornmast.forwarding.translation import build_unavailable_response
-from hawthornmast.forwarding.upstream import Exchange
-from hawthornmast.forwarding.upstream import Progress
 from hawthornmast.forwarding.upstream import UpstreamClient
 
 RELAY_TIMEOUT_S = 5.0
--- a/src/hawthornmast/forwarding/translation.py
+++ b/src/hawthornmast/forwarding/translation.py
@@ -5,13 +5,13 @@
 
 from hawthornmast.common import Instance
 from hawthornmast.common import Outcome
+from hawthornmast.forwarding.exchange import Exchange
+from hawthornmast.forwarding.exchange import UpstreamRequest
 from hawthornmast.forwarding.headers import filter_headers
 from hawthornmast.forwarding.headers import RawHeaders
 from hawthornmast.forwarding.messages import build_error_response
 from hawthornmast.forwarding.messages import ClientRequest
 from hawthornmast.forwarding.messages import ClientResponse
-from hawthornmast.forwarding.upstream import Exchange
-from hawthornmast.forwarding.upstream import UpstreamRequest
 
 
 def build_unavailable_response(
--- a/src/hawthornmast/forwarding/upstream.py
+++ b/src/hawthornmast/forwarding/upstream.py
@@ -1,12 +1,9 @@
 """HTTP client for upstreams with connection pools."""
 
-from collections import deque
 from collections.abc import Callable
 import math
-import re
 import socket
 
-import attrs
 import h11
 from result import Err
 from result import Ok
@@ -16,200 +13,17 @@
 from hawthornmast.common import StepError
 from hawthornmast.common import Upstream
 from hawthornmast.forwarding import sockets
-from hawthornmast.forwarding.headers import RawHeaders
-from hawthornmast.forwarding.serialization import read_headers
+from hawthornmast.forwarding.exchange import apply_keep_alive_timeout
+from hawthornmast.forwarding.exchange import check_framing
+from hawthornmast.forwarding.exchange import ConnectionPool
+from hawthornmast.forwarding.exchange import Exchange
+from hawthornmast.forwarding.exchange import Progress
+from hawthornmast.forwarding.exchange import read_head
+from hawthornmast.forwarding.exchange import UpstreamConnection
+from hawthornmast.forwarding.exchange import UpstreamRequest
 from hawthornmast.forwarding.serialization import write_request
 
-_READ_BYTES = 65536
-_MAX_HEADER_BYTES = 32768
-_MAX_INFORMATIONAL_RESPONSES = 8
-"""Maximum number of informational responses before the final one."""
-
-_HEAD_TIMEOUT_S = 1.0
-"""Timeout for the rest of a response head once a part of it has arrived. A
-head fits into one or two packets, and a lost one is sent again within this
-time."""
-
-_BODILESS_STATUSES = frozenset({204, 304})
 _TCP_USER_TIMEOUT_MS = 1500
-_KEEP_ALIVE_TIMEOUT = re.compile(rb"\btimeout\s*=\s*(\d{1,6})\b", re.I)
-_KEEP_ALIVE_FRACTION = 0.5
-"""Fraction of the announced keep-alive timeout for which to pool a connection.
-
-The rest covers the transit time of a request, which could otherwise cross the
-upstream's close.
-"""
-
-
-@attrs.define
-class Progress:
-    """Progress of an attempt, also valid after it was cancelled.
-
-    Parameters
-    ----------
-    started
-        At least one byte of the request was sent.
-    reused
-        The attempt used a pooled connection.
-    response_started
-        At least one byte of a response was received.
-    connect_timed_out
-        Establishing the connection timed out; it was not refused.
-    started_at
-        Monotonic time at which sending started.
-    """
-
-    started: bool = False
-    reused: bool = False
-    response_started: bool = False
-    connect_timed_out: bool = False
-    started_at: float = 0.0
-
-
-@attrs.define(kw_only=True)
-class UpstreamRequest:
-    """A request to an upstream, with its complete body."""
-
-    method: bytes
-    target: bytes
-    headers: RawHeaders
-    body: bytes = b""
-    has_body: bool = False
-
-
-class _UpstreamConnection:
-    """A pooled connection to an upstream."""
-
-    __slots__ = (
-        "closed",
-        "h11_connection",
-        "idle_s",
-        "idle_since",
-        "pool",
-        "sock",
-    )
-
-    def __init__(self, sock: socket.socket, pool: "_Pool") -> None:
-        self.sock = sock
-        self.closed = False
-        self.pool = pool
-        self.idle_since = 0.0
-        self.idle_s = math.inf
-        self.h11_connection = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=_MAX_HEADER_BYTES
-        )
-        pool.open += 1
-
-    def close(self) -> None:
-        if not self.closed:
-            self.closed = True
-            self.pool.open -= 1
-            self.sock.close()
-
-    def is_expired(self, now: float) -> bool:
-        """Return whether the connection exceeded its idle timeout."""
-        return now - self.idle_since >= self.idle_s
-
-    def is_reusable(self) -> bool:
-        """Return whether the connection is open and has no unread data."""
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
-
-
-class _Pool:
-    __slots__ = ("idle", "open")
-
-    def __init__(self) -> None:
-        self.idle: deque[_UpstreamConnection] = deque()
-        self.open = 0
-
-
-class Exchange:
-    """An exchange whose response head was received.
-
-    Parameters
-    ----------
-    status, headers
-        Status and headers of the response.
-    body
-        Part of the body that was read so far.
-    complete
-        The body was read to its verified end.
-    """
-
-    __slots__ = (
-        "_client",
-        "_conn",
-        "_values",
-        "body",
-        "complete",
-        "headers",
-        "status",
-    )
-
-    def __init__(
-        self,
-        client: "UpstreamClient",
-        conn: _UpstreamConnection,
-        head: h11.Response,
-    ) -> None:
-        self._client = client
-        self._conn = conn
-        self.status = head.status_code
-        self.headers = read_headers(head)
-        self._values = dict(self.headers)
-        self.body = bytearray()
-        self.complete = False
-
-    def header(self, name: bytes) -> bytes | None:
-        """Return the last value of a header, given its name in lower case."""
-        return self._values.get(name)
-
-    async def read(self) -> bytes:
-        """Return the next part of the body, empty once it is complete.
-
-        Raises OSError or ``h11.RemoteProtocolError`` for a truncated body.
-        """
-        h11_connection = self._conn.h11_connection
-        while True:
-            event = h11_connection.next_event()
-            if event is h11.NEED_DATA:
-                data = await sockets.receive(self._conn.sock, _READ_BYTES)
-                h11_connection.receive_data(data)
-            elif type(event) is h11.Data:
-                return bytes(event.data)
-            elif type(event) is h11.EndOfMessage:
-                self.complete = True
-                return b""
-            else:
-                raise h11.RemoteProtocolError("connection closed early")
-
-    async def fill_buffer(self, size: int) -> None:
-        """Read the body until it is complete or exceeds ``size`` bytes."""
-        while len(self.body) <= size:
-            chunk = await self.read()
-            if not chunk:
-                return
-            self.body += chunk
-
-    def release(self, *, reusable: bool) -> None:
-        """Return the connection to its pool, or close it.
-
-        Parameters
-        ----------
-        reusable
-            The response belongs to the request. After a response to another
-            request, later ones on the connection may be mismatched as well.
-        """
-        if reusable and self.complete:
-            self._client.return_connection(self._conn)
-        else:
-            self._conn.close()
 
 
 class UpstreamClient:
@@ -245,7 +59,7 @@
         self._max_idle_connections = max_idle_connections
         self._allow_close_delimited = allow_close_delimited
         self._clock = clock
-        self._pools: dict[str, _Pool] = {}
+        self._pools: dict[str, ConnectionPool] = {}
         self._closed = False
 
     def open_connections(self) -> int:
@@ -281,7 +95,7 @@
             Returns whether the head is one of a response to the request. If
             not, its body is not read, because it may never end.
         """
-        conn: _UpstreamConnection | None = None
+        conn: UpstreamConnection | None = None
         succeeded = False
         step = "connect"
         try:
@@ -333,7 +147,7 @@
             if conn is not None and not succeeded:
                 conn.close()
 
-    def return_connection(self, conn: _UpstreamConnection) -> None:
+    def return_connection(self, conn: UpstreamConnection) -> None:
         """Return a connection to its pool if reusable, otherwise close it."""
         h11_connection = conn.h11_connection
         pool = conn.pool
@@ -373,13 +187,13 @@
         progress: Progress,
         new_connection: bool,
         max_idle_s: float,
-    ) -> _UpstreamConnection | None:
+    ) -> UpstreamConnection | None:
         # The key has both the identifier and the address, because addresses
         # are reused by other instances.
         key = f"{upstream.upstream_id} {upstream.host}:{upstream.port}"
         pool = self._pools.get(key)
         if pool is None:
-            pool = self._pools[key] = _Pool()
+            pool = self._pools[key] = ConnectionPool()
         if not new_connection:
             now = self._clock()
             while pool.idle:
@@ -398,12 +212,12 @@
         return await self._connect(upstream, pool)
 
     async def _connect(
-        self, upstream: Upstream, pool: _Pool
-    ) -> _UpstreamConnection:
+        self, upstream: Upstream, pool: ConnectionPool
+    ) -> UpstreamConnection:
         family = socket.AF_INET6 if ":" in upstream.host else socket.AF_INET
         sock = socket.socket(family, socket.SOCK_STREAM)
         sock.setblocking(False)
-        conn = _UpstreamConnection(sock, pool)
+        conn = UpstreamConnection(sock, pool)
         connected = False
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -425,88 +239,14 @@
 
     async def _read_head(
         self,
-        conn: _UpstreamConnection,
+        conn: UpstreamConnection,
         request: UpstreamRequest,
         progress: Progress,
     ) -> Exchange:
-        h11_connection = conn.h11_connection
-        # Pooled connections have no unread data, and receiving first is
-        # cheaper than asking h11 for an event.
-        need_data = True
-        head_deadline = math.inf
-        informational_count = 0
-        while True:
-            if need_data:
-                data = await _receive_by(conn.sock, head_deadline)
-                progress.response_started = progress.response_started or bool(
-                    data
-                )
-                h11_connection.receive_data(data)
-            event = h11_connection.next_event()
-            need_data = event is h11.NEED_DATA
-            if type(event) is h11.Response:
-                break
-            if type(event) is h11.InformationalResponse:
-                informational_count += 1
-                head_deadline = math.inf
-                if informational_count > _MAX_INFORMATIONAL_RESPONSES:
-                    raise h11.RemoteProtocolError(
-                        "too many informational responses"
-                    )
-            elif not need_data:
-                raise h11.RemoteProtocolError("connection closed early")
-            elif head_deadline == math.inf and h11_connection.trailing_data[0]:
-                head_deadline = self._clock() + _HEAD_TIMEOUT_S
-        exchange = Exchange(self, conn, event)
-        _check_framing(
-            exchange, event, request.method, self._allow_close_delimited
+        head = await read_head(conn, progress, clock=self._clock)
+        exchange = Exchange(self.return_connection, conn, head)
+        check_framing(
+            exchange, head, request.method, self._allow_close_delimited
         )
-        _apply_keep_alive_timeout(conn, exchange)
+        apply_keep_alive_timeout(conn, exchange)
         return exchange
-
-
-async def _receive_by(sock: socket.socket, deadline: float) -> bytes:
-    """Receive data, or raise TimeoutError at the deadline."""
-    if deadline == math.inf:
-        return await sockets.receive(sock, _READ_BYTES)
-    with trio.move_on_at(deadline):
-        return await sockets.receive(sock, _READ_BYTES)
-    raise TimeoutError(f"response head incomplete after {_HEAD_TIMEOUT_S} s")
-
-
-def _check_framing(
-    exchange: Exchange,
-    head: h11.Response,
-    method: bytes,
-    allow_close_delimited: bool,
-) -> None:
-    """Refuse a response whose end can't be verified."""
-    content_length = exchange.header(b"content-length")
-    transfer_encoding = exchange.header(b"transfer-encoding")
-    if transfer_encoding is not None and content_length is not None:
-        raise h11.RemoteProtocolError(
-            "both Transfer-Encoding and Content-Length"
-        )
-    if transfer_encoding is not None and head.http_version < b"1.1":
-        raise h11.RemoteProtocolError(
-            "Transfer-Encoding in an HTTP/1.0 response"
-        )
-    if (
-        transfer_encoding is None
-        and content_length is None
-        and method != b"HEAD"
-        and exchange.status not in _BODILESS_STATUSES
-        and not allow_close_delimited
-    ):
-        raise h11.RemoteProtocolError(
-            "close-delimited body, whose end can't be verified"
-        )
-
-
-def _apply_keep_alive_timeout(
-    conn: _UpstreamConnection, exchange: Exchange
-) -> None:
-    """Apply the keep-alive timeout that the upstream announced."""
-    match = _KEEP_ALIVE_TIMEOUT.search(exchange.header(b"keep-alive") or b"")
-    if match is not None:
-        conn.idle_s = int(match[1]) * _KEEP_ALIVE_FRACTION
--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -20,14 +20,14 @@
 from hawthornmast.forwarding.delivery import Deliver
 from hawthornmast.forwarding.delivery import HTTP10_BUFFER_BYTES
 from hawthornmast.forwarding.delivery import OpenScope
+from hawthornmast.forwarding.exchange import Exchange
+from hawthornmast.forwarding.exchange import Progress
+from hawthornmast.forwarding.exchange import UpstreamRequest
 from hawthornmast.forwarding.messages import build_error_response
 from hawthornmast.forwarding.messages import ClientRequest
 from hawthornmast.forwarding.messages import ClientResponse
 from hawthornmast.forwarding.messages import Trace
-from hawthornmast.forwarding.upstream import Exchange
-from hawthornmast.forwarding.upstream import Progress
 from hawthornmast.forwarding.upstream import UpstreamClient
-from hawthornmast.forwarding.upstream import UpstreamRequest
 from hawthornmast.gateway.evidence import EvidenceExchange
 from hawthornmast.gateway.services import ServiceRegistry
 from hawthornmast.gateway.services import ServiceState
--- a/src/hawthornmast/gateway/upstreams.py
+++ b/src/hawthornmast/gateway/upstreams.py
@@ -5,9 +5,9 @@
 import attrs
 
 from hawthornmast.common import Upstream
+from hawthornmast.forwarding.exchange import Exchange
 from hawthornmast.forwarding.headers import RawHeaders
 from hawthornmast.forwarding.messages import ClientRequest
-from hawthornmast.forwarding.upstream import Exchange
 
 
 @attrs.frozen(kw_only=True)
--- a/src/hawthornmast/platform/headers.py
+++ b/src/hawthornmast/platform/headers.py
@@ -2,11 +2,11 @@
 
 from hawthornmast.common import Upstream
 from hawthornmast.forwarding.dialect import parse_milliseconds
+from hawthornmast.forwarding.exchange import Exchange
 from hawthornmast.forwarding.headers import filter_headers
 from hawthornmast.forwarding.headers import RawHeaders
 from hawthornmast.forwarding.messages import ClientRequest
 from hawthornmast.forwarding.messages import ClientResponse
-from hawthornmast.forwarding.upstream import Exchange
 from hawthornmast.gateway.upstreams import ResponseAssessment
 from hawthornmast.platform import names
 
