--- a/src/hawthornmast/limits/shared.py
+++ b/src/hawthornmast/limits/shared.py
@@ -14,7 +14,6 @@
 
 import attrs
 
-from hawthornmast.common import State
 from hawthornmast.common import Upstream
 from hawthornmast.health.belief import Belief
 from hawthornmast.health.belief import Observation
@@ -24,7 +23,7 @@
 from hawthornmast.limits.coverage import COVERAGE_WINDOW_S
 from hawthornmast.limits.coverage import CoverageAllowance
 from hawthornmast.limits.coverage import OutcomeWindow
-from hawthornmast.limits.coverage import RECOVERY_S
+from hawthornmast.limits.pooled import PooledUpstream
 
 UTILIZATION_COST = 0.03
 """Cost of a fully used upstream over an idle one, in the same unit as the
@@ -45,19 +44,10 @@
 TRIAL_INTERVAL_S = 1.2
 """Minimum interval between trial requests to one upstream."""
 
-INITIAL_BACKOFF_S = 1.5
-"""Backoff after a failed connection; doubles with each further failure up to
-``MAX_BACKOFF_S``."""
-
-MAX_BACKOFF_S = 6.0
-
 SILENCE_TIMEOUT_S = 1.5
 """Time without any response, while requests are in flight, after which this
 daemon sends an upstream no further requests."""
 
-PEER_USE_TTL_S = 2.5
-"""Validity of the use that a peer reported."""
-
 TRIAL_PRIORITY = 2.0
 """Deduction from the cost of an upstream that receives a trial request."""
 
@@ -65,52 +55,6 @@
 """Deduction from the cost of an upstream that is due for a request."""
 
 
-@attrs.define(kw_only=True, eq=False)
-class PooledUpstream:
-    """Use and estimated health of one upstream."""
-
-    upstream: Upstream
-    belief: Belief
-    in_use: int = 0
-    listed: bool = True
-    # Whether the address now serves another upstream.
-    moved: bool = False
-    # Time of the last request by any daemon, as known here.
-    last_request_at: float = -math.inf
-    # Time since which requests of this daemon have had no response.
-    waiting_since: float = 0.0
-    backoff_until: float = 0.0
-    backoff_s: float = INITIAL_BACKOFF_S
-    # Whether the probability of failure exceeds MAX_FAILURE_PROBABILITY.
-    # Unlike ``Standing.avoided``, this is only reported by ``on_change``.
-    avoided: bool = False
-    # Slots in use by each peer, with the time of the report.
-    peer_use: dict[str, tuple[int, float]] = attrs.field(factory=dict)
-
-    def count_use(self, now: float) -> int:
-        """Return the slots in use by all daemons."""
-        use = self.in_use
-        for count, at in self.peer_use.values():
-            if now - at <= PEER_USE_TTL_S:
-                use += count
-        return use
-
-    def is_candidate(self) -> bool:
-        """Return whether the upstream may receive new requests."""
-        return (
-            self.listed
-            and not self.moved
-            and self.upstream.state is State.LIVE
-        )
-
-    def is_healthy(self, now: float) -> bool:
-        """Return whether the floor counts the upstream as healthy."""
-        return (
-            self.is_candidate()
-            and now - self.belief.last_failure_at > RECOVERY_S
-        )
-
-
 @attrs.frozen(kw_only=True)
 class _Selection:
     """What the selection of an upstream for one request depends on.
@@ -256,10 +200,7 @@
         self._allowance.count_request()
         if self._is_due(best, selection):
             self._allowance.spend()
-        if not best.in_use:
-            best.waiting_since = now
-        best.in_use += 1
-        best.last_request_at = now
+        best.record_request(now)
         return best.upstream
 
     def _make_selection(
@@ -414,9 +355,7 @@
         """Record a response to this daemon and end any backoff."""
         member = self.members.get(upstream_id)
         if member is not None:
-            member.waiting_since = self._clock()
-            member.backoff_until = 0.0
-            member.backoff_s = INITIAL_BACKOFF_S
+            member.record_response(self._clock())
 
     def mark_unreachable(self, upstream_id: str) -> None:
         """Back off from an upstream after a failed connection.
@@ -425,22 +364,14 @@
         """
         member = self.members.get(upstream_id)
         if member is not None:
-            member.backoff_until = self._clock() + member.backoff_s
-            member.backoff_s = min(MAX_BACKOFF_S, 2.0 * member.backoff_s)
+            member.back_off(self._clock())
             self._notify("unreachable", member)
 
     def record_peer_use(self, upstream_id: str, peer: str, count: int) -> None:
         """Record the slots of an upstream that a peer uses."""
         member = self.members.get(upstream_id)
-        if member is None:
-            return
-        now = self._clock()
-        if count:
-            if count > member.peer_use.get(peer, (0, 0.0))[0]:
-                member.last_request_at = now
-            member.peer_use[peer] = (count, now)
-        else:
-            member.peer_use.pop(peer, None)
+        if member is not None:
+            member.record_peer_use(peer, count, self._clock())
 
     def mark_moved(self, upstream_id: str) -> None:
         """Stop using an upstream whose address now serves another one."""
--- a/src/hawthornmast/limits/tests/test_shared.py
+++ b/src/hawthornmast/limits/tests/test_shared.py
@@ -11,8 +11,8 @@
 from hawthornmast.limits import SharedPool
 from hawthornmast.limits.coverage import COVERAGE_DELAY_S
 from hawthornmast.limits.coverage import COVERAGE_INTERVAL_S
-from hawthornmast.limits.shared import INITIAL_BACKOFF_S
-from hawthornmast.limits.shared import PEER_USE_TTL_S
+from hawthornmast.limits.pooled import INITIAL_BACKOFF_S
+from hawthornmast.limits.pooled import PEER_USE_TTL_S
 from hawthornmast.limits.shared import SILENCE_TIMEOUT_S
 from hawthornmast.limits.shared import TRIAL_INTERVAL_S
 from standins.clock import ManualClock
