--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -1,6 +1,5 @@
 """Assembly of one member of the fleet."""
 
-import functools
 import itertools
 import logging
 import random
@@ -25,6 +24,7 @@
 from hawthornmast.gateway.datagrams import MessageKind
 from hawthornmast.gateway.evidence import EvidenceExchange
 from hawthornmast.gateway.forwarder import RouteForwarder
+from hawthornmast.gateway.gauges import register_gauges
 from hawthornmast.gateway.metrics import GatewayMetrics
 from hawthornmast.gateway.options import GatewayOptions
 from hawthornmast.gateway.server import GatewayServer
@@ -142,7 +142,13 @@
             on_finished=self._record_request,
             on_bad_input=self._record_bad_input,
         )
-        self._register_gauges()
+        register_gauges(
+            self.metrics,
+            synchronizer=self.synchronizer,
+            datagrams=self.datagrams,
+            gossip=self.gossip,
+            services=self.services,
+        )
         self._nursery: trio.Nursery | None = None
         # Live and advertised members, updated when the membership changes.
         # They are those of this state: the number of changes so far and
@@ -221,53 +227,6 @@
             seeds=len(self.options.seeds),
         )
 
-    def _register_gauges(self) -> None:
-        register_gauge = self.metrics.register_gauge
-        register_gauge(
-            "hawthornmast_platform_calls",
-            "Calls of the platform.",
-            lambda: self.synchronizer.calls,
-        )
-        register_gauge(
-            "hawthornmast_platform_failures",
-            "Calls of the platform that failed.",
-            lambda: self.synchronizer.failures,
-        )
-        register_gauge(
-            "hawthornmast_datagram_bytes",
-            "Bytes of datagrams sent to other members.",
-            lambda: self.datagrams.sent_bytes,
-        )
-        # Gossip knows all members of this zone, but only the highest-ranked
-        # few of each other zone, so the gauge is not the size of the fleet.
-        register_gauge(
-            "hawthornmast_live_members",
-            "Members that live and are ready: all of the zone and the first"
-            " of the others.",
-            lambda: len(self.gossip.live()),
-        )
-        self._register_coverage_gauges()
-
-    def _register_coverage_gauges(self) -> None:
-        documentation = {
-            "healthy": "Eligible upstreams without a recent failure.",
-            "receiving": "Healthy upstreams with a recent request.",
-            "avoided": "Healthy upstreams that are still believed to fail.",
-        }
-        for field, text in documentation.items():
-            self.metrics.register_service_gauge(
-                f"hawthornmast_{field}_upstreams",
-                text,
-                functools.partial(self._count_covered, field),
-            )
-
-    def _count_covered(self, field: str) -> dict[str, float]:
-        """Return one field of the coverage of each service."""
-        return {
-            state.name: getattr(state.pool.measure_coverage(), field)
-            for state in self.services
-        }
-
     async def drain(self) -> None:
         """Leave the fleet and finish running requests in the grace period."""
         grace_s = self.options.bounds.grace_s
