--- a/src/hawthornmast/health/belief.py
+++ b/src/hawthornmast/health/belief.py
@@ -11,6 +11,7 @@
 """
 
 import enum
+import functools
 import math
 
 import attrs
@@ -58,7 +59,7 @@
     healthy_early_probability: float = 0.005
     healthy_late_probability: float = 0.012
 
-    @property
+    @functools.cached_property
     def stationary_probability(self) -> float:
         """Long-run fraction of time in the failing state."""
         return self.onset_per_s / (self.onset_per_s + self.recovery_per_s)
--- a/src/hawthornmast/limits/pooled.py
+++ b/src/hawthornmast/limits/pooled.py
@@ -60,8 +60,8 @@
     def is_healthy(self, now: float) -> bool:
         """Return whether the floor counts the upstream as healthy."""
         return (
-            self.is_candidate()
-            and now - self.belief.last_failure_at > RECOVERY_S
+            now - self.belief.last_failure_at > RECOVERY_S
+            and self.is_candidate()
         )
 
     def record_request(self, now: float) -> None:
--- a/src/hawthornmast/limits/shared.py
+++ b/src/hawthornmast/limits/shared.py
@@ -186,9 +186,12 @@
         best: PooledUpstream | None = None
         best_cost = math.inf
         for key, member in self.members.items():
-            if key in exclude or not self._is_available(member, now):
+            if key in exclude or not self._is_reachable(member, now):
                 continue
-            cost = self._compute_cost(member, selection)
+            use = member.count_use(now)
+            if use >= member.upstream.slots:
+                continue
+            cost = self._compute_cost(member, use, selection)
             if cost is None:
                 continue
             # The random term breaks ties.
@@ -211,6 +214,7 @@
         is_retry: bool,
         time_left_fraction: float,
     ) -> _Selection:
+        may_cover = self.explores and self._allowance.is_available()
         waited_fraction = min(1.0, 2.0 * (1.0 - time_left_fraction))
         return _Selection(
             now=now,
@@ -222,10 +226,10 @@
                 and not is_retry
                 and self._may_send_trial()
             ),
-            may_cover=self.explores and self._allowance.is_available(),
+            may_cover=may_cover,
             due_after_s=COVERAGE_INTERVAL_S
             + (0.0 if retryable else COVERAGE_DELAY_S),
-            is_below_floor=self.explores and self._is_below_floor(now),
+            is_below_floor=may_cover and self._is_below_floor(now),
         )
 
     def _is_below_floor(self, now: float) -> bool:
@@ -239,40 +243,34 @@
                 receiving += now - member.last_request_at <= latest_due_s
         return receiving < self._floor_share * healthy
 
-    def _is_available(self, member: PooledUpstream, now: float) -> bool:
-        """Return whether an upstream is reachable and has a free slot."""
-        is_silent = (
-            member.in_use > 0
-            and now - member.waiting_since > self.silence_timeout_s
-        )
-        return (
-            member.is_candidate()
-            and now >= member.backoff_until
-            and not is_silent
-            and member.count_use(now) < member.upstream.slots
-        )
+    def _is_reachable(self, member: PooledUpstream, now: float) -> bool:
+        """Return whether an upstream may be sent requests by this daemon."""
+        if not member.is_candidate() or now < member.backoff_until:
+            return False
+        is_silent = now - member.waiting_since > self.silence_timeout_s
+        return not (member.in_use and is_silent)
 
     def _compute_cost(
-        self, member: PooledUpstream, selection: _Selection
+        self, member: PooledUpstream, use: int, selection: _Selection
     ) -> float | None:
         """Return the cost of an upstream, None if it is not eligible.
 
         The lowest cost is selected: trials first, then upstreams that are
         due, then by probability of failure and use.
         """
-        use = member.count_use(selection.now)
         probability = member.belief.probability_at(selection.now)
         cost = probability + UTILIZATION_COST * use / member.upstream.slots
         if member.upstream.zone != self._zone:
             cost += CROSS_ZONE_COST
+        idle_s = selection.now - member.last_request_at
         if (
             selection.may_try
             and probability > TRIAL_MIN_PROBABILITY
             and not use
-            and selection.now - member.last_request_at > TRIAL_INTERVAL_S
+            and idle_s > TRIAL_INTERVAL_S
         ):
             return cost - TRIAL_PRIORITY
-        if self._is_due(member, selection):
+        if idle_s > COVERAGE_INTERVAL_S and self._is_due(member, selection):
             return cost - COVERAGE_PRIORITY
         if probability > selection.max_probability:
             return None
