--- a/src/hawthornmast/limits/coverage.py
+++ b/src/hawthornmast/limits/coverage.py
@@ -2,7 +2,9 @@
 
 The operators set a floor: while a part of a service's requests fails, at least
 this share of its healthy upstreams must receive requests. An upstream without
-requests is capacity that selection has removed, as ejection would.
+requests is capacity that selection has removed, as ejection would. The floor
+is kept at all times, because a daemon sees many failures too late, and those
+of requests that it loses with its process never.
 """
 
 from collections import deque
@@ -85,14 +87,18 @@
         """Record a finished request."""
         self._outcomes.append((self._clock(), succeeded))
         self._failed += not succeeded
+        self._discard_expired()
 
     def count(self) -> tuple[int, int]:
         """Return the failed requests and all finished ones."""
+        self._discard_expired()
+        return self._failed, len(self._outcomes)
+
+    def _discard_expired(self) -> None:
         oldest_at = self._clock() - RECOVERY_S
         while self._outcomes and self._outcomes[0][0] < oldest_at:
             _, succeeded = self._outcomes.popleft()
             self._failed -= not succeeded
-        return self._failed, len(self._outcomes)
 
 
 class CoverageAllowance:
