--- a/src/hawthornmast/platform/settings.py
+++ b/src/hawthornmast/platform/settings.py
@@ -15,6 +15,7 @@
 from hawthornmast.gateway import GatewayOptions
 from hawthornmast.platform.values import parse_address
 from hawthornmast.platform.values import parse_duration
+from hawthornmast.platform.values import parse_share
 
 RESERVED_FILE_DESCRIPTORS = 200
 """File descriptors that the platform reserves for files."""
@@ -128,12 +129,15 @@
     def set_bound(field: str, key: str, parse: Any) -> None:
         text = fields.get(f"Bounds.{key}")
         if text:
-            values[field] = parse(text)
+            try:
+                values[field] = parse(text)
+            except ValueError as error:
+                raise ValueError(f"Bounds.{key}: {error}") from error
 
     set_bound("retry_ratio", "RetryBudgetRatio", float)
     set_bound("retry_slack", "BudgetSlack", float)
     set_bound("retry_window_s", "BudgetWindow", parse_duration)
     set_bound("grace_s", "Grace", parse_duration)
-    set_bound("floor_share", "FloorShare", float)
+    set_bound("floor_share", "FloorShare", parse_share)
     max_ttl_s = parse_duration(fields.get("Bounds.ttl_max") or "5s")
     return Bounds(address_ttl_s=min(ADDRESS_TTL_S, max_ttl_s), **values)
--- a/src/hawthornmast/platform/tests/test_settings.py
+++ b/src/hawthornmast/platform/tests/test_settings.py
@@ -2,6 +2,8 @@
 
 import pathlib
 
+import pytest
+
 from hawthornmast.gateway import Bounds
 from hawthornmast.platform.settings import load_settings
 from hawthornmast.platform.settings import parse_settings
@@ -86,6 +88,15 @@
         error = parse_settings(text, source="file").unwrap_err()
         assert "'soon'" in error.detail
 
+    @pytest.mark.parametrize("value", ["70", "-0.1", "nan", "most"])
+    def test_floor_is_a_share(self, value: str) -> None:
+        # Guards against a floor in percent, which no choice could keep.
+        text = TEXT.replace("FloorShare=0.75", f"FloorShare={value}")
+        error = parse_settings(text, source="file").unwrap_err()
+        assert error.detail == (
+            f"Bounds.FloorShare: share is '{value}', allowed: 0 to 1"
+        )
+
 
 class TestLoadSettings:
     """An unreadable file gives an error with its path."""
--- a/src/hawthornmast/platform/values.py
+++ b/src/hawthornmast/platform/values.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import math
 import re
 from typing import Any
 
@@ -34,6 +35,20 @@
     return amount / 1000 if match[2] == "ms" else amount
 
 
+def parse_share(text: str) -> float:
+    """Parse a share from 0 to 1.
+
+    Raises ValueError for any other value.
+    """
+    try:
+        share = float(text)
+    except ValueError:
+        share = math.nan
+    if not 0.0 <= share <= 1.0:
+        raise ValueError(f"share is {text!r}, allowed: 0 to 1")
+    return share
+
+
 def parse_address(text: str) -> tuple[str, int]:
     """Parse ``address:port``; return the IP address and the port.
 
