--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -8,13 +8,11 @@
 import math
 from typing import Protocol
 
-import attrs
 from result import Err
 from result import Ok
 from result import Result
 import trio
 
-from hawthornmast.catalogue import Entry
 from hawthornmast.common import Outcome
 from hawthornmast.common import Upstream
 from hawthornmast.forwarding.delivery import Deliver
@@ -28,11 +26,11 @@
 from hawthornmast.forwarding.messages import ClientResponse
 from hawthornmast.forwarding.messages import Trace
 from hawthornmast.forwarding.upstream import UpstreamClient
+from hawthornmast.gateway.attempts import EvidenceRecorder
+from hawthornmast.gateway.attempts import RequestContext
 from hawthornmast.gateway.evidence import EvidenceExchange
 from hawthornmast.gateway.services import ServiceRegistry
-from hawthornmast.gateway.services import ServiceState
 from hawthornmast.gateway.upstreams import UpstreamDialect
-from hawthornmast.health.belief import Observation
 from hawthornmast.routing import Configuration
 from hawthornmast.routing import Route
 from hawthornmast.routing import SplitBalancer
@@ -54,14 +52,6 @@
 """Maximum idle time of a connection that is reused for a request that must not
 be repeated."""
 
-LATE_FAILURE_FRACTION = 0.5
-"""Fraction of a route's mean latency after which a failure is attributed to
-the request rather than to its upstream."""
-
-UNANSWERED_FAILURE_FRACTION = 0.5
-"""Fraction of a route's timeout after which a cancelled request without a
-response counts as a failure of its upstream."""
-
 
 class ConfigurationProvider(Protocol):
     """Access to the configuration in force."""
@@ -71,24 +61,6 @@
         """The configuration in force."""
 
 
-@attrs.define(eq=False)
-class _RequestContext:
-    """State of one request across its attempts."""
-
-    request: ClientRequest
-    route: Route
-    entry: Entry
-    state: ServiceState
-    trace: Trace
-    deliver: Deliver
-    deadline: float
-    excluded_ids: set[str] = attrs.Factory(set)
-    attempted_ids: set[str] = attrs.Factory(set)
-    failed_ids: set[str] = attrs.Factory(set)
-    last_answer: ClientResponse | None = None
-    progress: Progress = attrs.Factory(Progress)
-
-
 class RouteForwarder:
     """Selects upstreams for requests and builds the answers to clients.
 
@@ -123,7 +95,7 @@
         self._services = services
         self._upstream_client = upstream_client
         self._dialect = dialect
-        self._evidence = evidence
+        self._recorder = EvidenceRecorder(evidence, clock=clock)
         self._clock = clock
         self._splits = SplitBalancer()
 
@@ -178,7 +150,7 @@
         timeout_s = route.timeout_s
         if request.timeout_s is not None:
             timeout_s = min(timeout_s, request.timeout_s)
-        context = _RequestContext(
+        context = RequestContext(
             request=request,
             route=route,
             entry=self._services.entry_for(route),
@@ -200,7 +172,7 @@
         return answer
 
     def _answer_after_cancellation(
-        self, context: _RequestContext
+        self, context: RequestContext
     ) -> ClientResponse:
         """Return the answer to a request that was cancelled."""
         reason = (
@@ -218,9 +190,7 @@
             return build_error_response(504, reason, outcome=Outcome.UNKNOWN)
         return self._refuse_unavailable(reason, context.request, None)
 
-    async def _attempt(
-        self, context: _RequestContext
-    ) -> ClientResponse | None:
+    async def _attempt(self, context: RequestContext) -> ClientResponse | None:
         """Make one attempt; return None if another one is to be made."""
         context.progress = Progress()
         admitted = await context.state.dispatcher.admit(
@@ -276,14 +246,14 @@
             exchange = send_result.ok_value
             step = str(exchange.status)
             context.state.pool.record_response(upstream.upstream_id)
-            elapsed_s = self._clock() - started_at
-            if exchange.status < 300:
-                context.state.record_latency(context.route.name, elapsed_s)
             return await self._handle_response(
-                context, upstream, exchange, elapsed_s
+                context,
+                upstream,
+                exchange,
+                elapsed_s=self._clock() - started_at,
             )
         except trio.Cancelled:
-            self._record_cancellation(context, upstream, started_at)
+            self._recorder.record_cancellation(context, upstream, started_at)
             raise
         finally:
             elapsed_ms = round((self._clock() - started_at) * 1000)
@@ -295,7 +265,7 @@
             admission.release()
 
     def _build_request(
-        self, context: _RequestContext, upstream: Upstream
+        self, context: RequestContext, upstream: Upstream
     ) -> UpstreamRequest:
         request = context.request
         remaining_s = context.deadline - self._clock()
@@ -311,9 +281,10 @@
 
     async def _handle_response(
         self,
-        context: _RequestContext,
+        context: RequestContext,
         upstream: Upstream,
         exchange: Exchange,
+        *,
         elapsed_s: float,
     ) -> ClientResponse | None:
         assessment = self._dialect.assess_response(exchange, context.request)
@@ -323,10 +294,8 @@
                 context.state.pool.mark_moved(upstream.upstream_id)
             if assessment.not_executed:
                 return self._handle_rejection(context, upstream)
-            mean_s = context.state.mean_latency_s(context.route.name)
-            late = elapsed_s >= LATE_FAILURE_FRACTION * mean_s
             if not valid:
-                self._record_observation(context, upstream, failed=True)
+                self._recorder.record_failure(context, upstream)
                 return self._handle_failure(
                     context,
                     upstream,
@@ -347,15 +316,14 @@
                         502, "too-long", outcome=Outcome.UNKNOWN
                     )
                 await self._stream_response(context, answer, exchange)
-            # The head of a response that then breaks off is no success, and
-            # no failure if the client left.
-            if not (answer.truncated and context.trace.client_disconnected):
-                self._record_observation(
-                    context,
-                    upstream,
-                    failed=answer.truncated or exchange.status >= 500,
-                    late=late and not answer.truncated,
-                )
+            # The head of a response that then breaks off is no success.
+            if answer.truncated:
+                if not context.trace.client_disconnected:
+                    self._recorder.record_failure(context, upstream)
+                return answer
+            self._recorder.record_response(
+                context, upstream, exchange.status, elapsed_s=elapsed_s
+            )
             if exchange.status >= 500 and not answer.streamed:
                 return self._handle_failure(context, upstream, answer)
             return answer
@@ -364,7 +332,7 @@
 
     async def _stream_response(
         self,
-        context: _RequestContext,
+        context: RequestContext,
         answer: ClientResponse,
         exchange: Exchange,
     ) -> None:
@@ -375,7 +343,7 @@
             answer.outcome = Outcome.UNKNOWN
 
     def _handle_rejection(
-        self, context: _RequestContext, upstream: Upstream
+        self, context: RequestContext, upstream: Upstream
     ) -> ClientResponse | None:
         """Retry a request that its upstream stated it did not run.
 
@@ -402,7 +370,7 @@
         return None
 
     def _handle_error(
-        self, context: _RequestContext, upstream: Upstream, step: str
+        self, context: RequestContext, upstream: Upstream, step: str
     ) -> ClientResponse | None:
         """Retry or answer a request whose exchange failed."""
         if step == "deadline":
@@ -415,12 +383,12 @@
             if context.progress.connect_timed_out:
                 context.state.pool.mark_unreachable(upstream.upstream_id)
             else:
-                self._record_observation(context, upstream, failed=True)
+                self._recorder.record_failure(context, upstream)
             return None
         # An upstream may close an idle connection, so the close of a reused
         # one without a response is no evidence of a failure.
         if not context.progress.reused or context.progress.response_started:
-            self._record_observation(context, upstream, failed=True)
+            self._recorder.record_failure(context, upstream)
         return self._handle_failure(
             context,
             upstream,
@@ -434,7 +402,7 @@
 
     def _handle_failure(
         self,
-        context: _RequestContext,
+        context: RequestContext,
         upstream: Upstream,
         answer: ClientResponse,
     ) -> ClientResponse | None:
@@ -446,45 +414,12 @@
             return None
         return answer
 
-    def _may_retry(self, context: _RequestContext) -> bool:
+    def _may_retry(self, context: RequestContext) -> bool:
         return (
             len(context.attempted_ids) < context.route.max_attempts
             and context.state.budget.take()
         )
 
-    def _record_cancellation(
-        self, context: _RequestContext, upstream: Upstream, started_at: float
-    ) -> None:
-        elapsed_s = self._clock() - started_at
-        if (
-            context.progress.started
-            and not context.trace.client_disconnected
-            and not context.trace.awaiting_client
-            and elapsed_s
-            >= UNANSWERED_FAILURE_FRACTION * context.route.timeout_s
-        ):
-            self._record_observation(context, upstream, failed=True)
-
-    def _record_observation(
-        self,
-        context: _RequestContext,
-        upstream: Upstream,
-        *,
-        failed: bool,
-        late: bool = False,
-    ) -> None:
-        observation = Observation.SUCCEEDED
-        if failed:
-            observation = (
-                Observation.FAILED_LATE if late else Observation.FAILED
-            )
-        self._evidence.record_observation(
-            context.state.name,
-            upstream.upstream_id,
-            observation,
-            sent_at=context.progress.started_at or self._clock(),
-        )
-
     def _refuse_unavailable(
         self, reason: str, request: ClientRequest, wait_s: float | None
     ) -> ClientResponse:
