--- a/src/hawthornmast/limits/tests/simulation.py
+++ b/src/hawthornmast/limits/tests/simulation.py
@@ -27,6 +27,8 @@
 
 @attrs.define(kw_only=True, order=False)
 class _Attempt:
+    """One request, which waits until it has an upstream."""
+
     member: int
     started_at: float
     upstream: Upstream | None = None
