--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -18,7 +18,10 @@
 FAST_PAUSE_S = 0.002
 """Pause between pieces, so that the client reads faster than they come."""
 
-TRUNCATED = "connection closed|incomplete|response is too long"
+STREAMED_BYTES = 1_000_000
+"""Size of a body that a member streams rather than buffers."""
+
+TRUNCATED = "closed|without sending complete|response is too long"
 """What the client says of a truncated response; it reads at most 8 MiB."""
 
 SLOW_PAUSE_S = 0.2
@@ -98,6 +101,34 @@
                 > DEFAULT_MODEL.stationary_probability
             )
 
+    async def test_head_alone_is_no_success(self) -> None:
+        # Guards against a success that is recorded at the head of a response
+        # that never ends.
+        async with run_deployment(boxes=1) as deployment:
+            set_faults(deployment, endless="body")
+            with pytest.raises(UnwrapError, match=TRUNCATED):
+                await deployment.send("GET", "/read/1", timeout_ms=800)
+            state = deployment.members[0].services.find("boxes")
+            assert state is not None
+            assert (
+                state.pool.failure_probability("boxes-0")
+                >= DEFAULT_MODEL.stationary_probability
+            )
+
+    async def test_stream_that_breaks_off_is_a_failure(self) -> None:
+        # Guards against a success that is recorded before the upstream
+        # closes the connection in the middle of a streamed body.
+        async with run_deployment(boxes=1) as deployment:
+            set_faults(deployment, cut="short", body_bytes=STREAMED_BYTES)
+            with pytest.raises(UnwrapError, match=TRUNCATED):
+                await deployment.send("GET", "/read/1")
+            state = deployment.members[0].services.find("boxes")
+            assert state is not None
+            assert (
+                state.pool.failure_probability("boxes-0")
+                > DEFAULT_MODEL.stationary_probability
+            )
+
     async def test_http10_client_gets_no_part_of_it(self) -> None:
         # Such a client takes the end of the connection as the end of a body.
         async with run_deployment(boxes=1) as deployment:
