--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -31,9 +31,9 @@
 from hawthornmast.gateway.services import compute_retry_slack
 from hawthornmast.gateway.services import ServiceRegistry
 from hawthornmast.gateway.services import ServiceState
-from hawthornmast.gateway.sources import decode_summary
+from hawthornmast.gateway.snapshots import decode_summary
+from hawthornmast.gateway.snapshots import SNAPSHOT_PATH
 from hawthornmast.gateway.sources import PlatformSource
-from hawthornmast.gateway.sources import SNAPSHOT_PATH
 from hawthornmast.gateway.sources import StateSynchronizer
 from hawthornmast.gateway.upstreams import UpstreamDialect
 from hawthornmast.membership.gossip import Gossip
--- a/src/hawthornmast/gateway/sources.py
+++ b/src/hawthornmast/gateway/sources.py
@@ -15,6 +15,7 @@
 changes. During a compaction of the store, watches delivered nothing for 5 s.
 """
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import logging
 import random
@@ -22,21 +23,23 @@
 from typing import Protocol
 import zlib
 
-import attrs
 import msgpack
 from result import Err
+from result import Ok
 from result import Result
 import trio
 
-from hawthornmast import http
 from hawthornmast.audit import log_event
 from hawthornmast.common import Instance
 from hawthornmast.common import StepError
+from hawthornmast.gateway.snapshots import decode_snapshot
+from hawthornmast.gateway.snapshots import fetch_snapshot
+from hawthornmast.gateway.snapshots import StateSnapshot
+from hawthornmast.gateway.snapshots import StateSummary
 from hawthornmast.membership.gossip import Gossip
 from hawthornmast.membership.listing import UpstreamListing
 from hawthornmast.membership.listing import UpstreamSnapshot
 from hawthornmast.routing import Configuration
-from hawthornmast.routing import decode_configuration
 from hawthornmast.routing import encode_configuration
 
 _LOG = logging.getLogger("hawthornmast.gateway.sources")
@@ -75,29 +78,6 @@
 more for each rank."""
 
 PULL_STALE_AGE_S = 1.6
-SNAPSHOT_PATH = "/v1/snapshot"
-PULL_TIMEOUT_S = 1.0
-
-MAX_CONFIGURATION_BYTES = 16_777_216
-"""Maximum uncompressed size of a configuration received from a peer."""
-
-
-def _decompress(data: bytes) -> Any:
-    """Return the value that a peer compressed.
-
-    Raises
-    ------
-    ValueError, zlib.error
-        If the data is truncated, too long or not compressed.
-    """
-    stream = zlib.decompressobj()
-    packed = stream.decompress(data, MAX_CONFIGURATION_BYTES)
-    if not stream.eof:
-        raise ValueError(
-            "configuration is truncated or longer than"
-            f" {MAX_CONFIGURATION_BYTES} bytes"
-        )
-    return msgpack.unpackb(packed)
 
 
 class PlatformSource(Protocol):
@@ -119,47 +99,9 @@
         """Return the latest configuration; None if there is none yet."""
 
 
-@attrs.frozen(kw_only=True)
-class StateSummary:
-    """Versions and ages of a member's state; fits into one datagram.
-
-    It is encoded by the order of its fields, not by their names.
-
-    Parameters
-    ----------
-    version
-        Version of its configuration, 0 if it has none.
-    configuration_age_s
-        Seconds since the configuration was last confirmed by the platform.
-    revision, digest
-        Revision and digest of its list of upstreams.
-    listing_age_s
-        Seconds since the list was last confirmed by the platform.
-    """
-
-    version: int
-    configuration_age_s: float
-    revision: int
-    digest: bytes
-    listing_age_s: float
-
-
-def decode_summary(value: Any) -> StateSummary:
-    """Decode the state summary in a datagram.
-
-    Raises
-    ------
-    ValueError, TypeError
-        If the value is malformed.
-    """
-    version, configuration_age_s, revision, digest, listing_age_s = value
-    return StateSummary(
-        version=int(version),
-        configuration_age_s=float(configuration_age_s),
-        revision=int(revision),
-        digest=bytes(digest),
-        listing_age_s=float(listing_age_s),
-    )
+SnapshotFetcher = Callable[
+    [Instance, int], Awaitable[Result[bytes, StepError]]
+]
 
 
 class StateSynchronizer:
@@ -183,6 +125,9 @@
         the representatives of the other zones.
     random_source
         Random generator for the choice of the peer to pull from.
+    fetch_snapshot
+        Fetches the encoded state of a peer, without its configuration if
+        that has the given version.
     """
 
     def __init__(
@@ -195,8 +140,10 @@
         on_listing: Callable[[str], None],
         announce: Callable[[], None],
         random_source: random.Random,
+        fetch_snapshot: SnapshotFetcher = fetch_snapshot,
     ) -> None:
         self._source = source
+        self._fetch_snapshot = fetch_snapshot
         self._gossip = gossip
         self._listing = listing
         self._on_configuration = on_configuration
@@ -407,13 +354,7 @@
 
     async def _pull(self, peer: Instance) -> None:
         try:
-            result = await http.fetch(
-                peer.host,
-                peer.peer_port,
-                "GET",
-                f"{SNAPSHOT_PATH}?version={self.version}",
-                timeout=PULL_TIMEOUT_S,
-            )
+            result = await self._fetch_snapshot(peer, self.version)
             if isinstance(result, Err):
                 log_event(
                     _LOG,
@@ -423,45 +364,53 @@
                     detail=result.err_value.detail,
                 )
                 return
-            self._apply_state_snapshot(result.ok_value.body, peer)
+            self._apply_state_snapshot(result.ok_value, peer)
         finally:
             self._pulling = False
 
     def _apply_state_snapshot(self, body: bytes, peer: Instance) -> None:
-        listing = self._listing
-        now = trio.current_time()
-        try:
-            compressed, encoded_list, age = msgpack.unpackb(body)
-            if compressed is not None:
-                configuration = decode_configuration(_decompress(compressed))
-                self.accept(configuration, peer.instance_id)
-            confirmed_at = now - float(age)
-            if (
-                encoded_list is not None
-                and confirmed_at > listing.confirmed_at
-            ):
-                changed = listing.apply_peer_list(encoded_list)
-                # The first item is the revision. An older list was ignored
-                # and confirms nothing.
-                if int(encoded_list[0]) >= listing.revision:
-                    listing.confirmed_at = confirmed_at
-                if changed:
-                    self._on_listing(peer.instance_id)
-        except (
-            ValueError,
-            TypeError,
-            IndexError,
-            zlib.error,
-            msgpack.UnpackException,
-        ):
+        decoded = decode_snapshot(body)
+        detail = decoded.err()
+        if isinstance(decoded, Ok):
+            snapshot = decoded.ok_value
+            if snapshot.configuration is not None:
+                self.accept(snapshot.configuration, peer.instance_id)
+            try:
+                self._apply_peer_list(snapshot, peer)
+            except (ValueError, TypeError, IndexError) as error:
+                detail = f"{type(error).__name__}: {error}"
+        if detail is not None:
             log_event(
                 _LOG,
                 "snapshot-refused",
                 level=logging.WARNING,
                 peer=peer.instance_id,
                 bytes=len(body),
+                detail=detail,
             )
 
+    def _apply_peer_list(
+        self, snapshot: StateSnapshot, peer: Instance
+    ) -> None:
+        """Apply a peer's list if the platform confirmed it later.
+
+        Raises ValueError, TypeError or IndexError if it is malformed.
+        """
+        listing = self._listing
+        confirmed_at = trio.current_time() - snapshot.listing_age_s
+        if (
+            snapshot.encoded_list is None
+            or confirmed_at <= listing.confirmed_at
+        ):
+            return
+        changed = listing.apply_peer_list(snapshot.encoded_list)
+        # The first item is the revision. An older list was ignored and
+        # confirms nothing.
+        if int(snapshot.encoded_list[0]) >= listing.revision:
+            listing.confirmed_at = confirmed_at
+        if changed:
+            self._on_listing(peer.instance_id)
+
     def _record_call(self, result: Result[Any, StepError]) -> bool:
         """Count a call to the platform; return whether it succeeded.
 
--- a/src/hawthornmast/gateway/tests/test_sources.py
+++ b/src/hawthornmast/gateway/tests/test_sources.py
@@ -8,10 +8,10 @@
 import pytest
 import trio
 
-from hawthornmast.gateway.sources import decode_summary
-from hawthornmast.gateway.sources import MAX_CONFIGURATION_BYTES
-from hawthornmast.gateway.sources import PULL_TIMEOUT_S
-from hawthornmast.gateway.sources import StateSummary
+from hawthornmast.gateway.snapshots import decode_summary
+from hawthornmast.gateway.snapshots import MAX_CONFIGURATION_BYTES
+from hawthornmast.gateway.snapshots import PULL_TIMEOUT_S
+from hawthornmast.gateway.snapshots import StateSummary
 from hawthornmast.gateway.sources import StateSynchronizer
 from hawthornmast.gateway.tests.support import FakePlatform
 from hawthornmast.gateway.tests.support import make_configuration
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -9,7 +9,7 @@
 
 from hawthornmast import http
 from hawthornmast.gateway import Bounds
-from hawthornmast.gateway.sources import SNAPSHOT_PATH
+from hawthornmast.gateway.snapshots import SNAPSHOT_PATH
 from standins.deployment import FRONT_PORT
 from standins.deployment import make_configuration
 from standins.deployment import PEER_PORT
