Log how long a change of the list may have been unseen

Change: upstreams-in-force has gap_ms, the time between the confirmations before and after the change.

Measured: the tests of the list pass.

--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -406,6 +406,7 @@
             or "-",
             left=",".join(sorted(self._live_upstreams - live_upstreams))
             or "-",
+            gap_ms=round(self.listing.gap_s * 1000),
             origin=origin,
         )
         self._live_upstreams = live_upstreams
--- a/src/hawthornmast/membership/listing.py
+++ b/src/hawthornmast/membership/listing.py
@@ -70,6 +70,13 @@
     ----------
     clock
         Monotonic time in seconds.
+
+    Attributes
+    ----------
+    gap_s
+        Seconds that the last change may have been on the platform unseen:
+        the time between the confirmations before and after it, 0 for the
+        first list.
     """
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
@@ -79,6 +86,7 @@
         self.digest = b""
         # Long ago but finite, because the age is logged as an integer.
         self.confirmed_at = -1e9
+        self.gap_s = 0.0
         self._retained_until: dict[str, float] = {}
 
     @property
@@ -145,10 +153,12 @@
     def _replace(
         self, revision: int, listed: dict[str, ListedUpstream], now: float
     ) -> bool:
+        gap_s = now - self.confirmed_at if self.is_loaded else 0.0
         self.revision = revision
         self.confirmed_at = now
         if listed == self.entries and self.is_loaded:
             return False
+        self.gap_s = gap_s
         self.entries = listed
         self.digest = digest_entries(listed.values())
         return True
--- a/src/hawthornmast/membership/tests/test_listing.py
+++ b/src/hawthornmast/membership/tests/test_listing.py
@@ -73,6 +73,20 @@
         assert listing.entries["u1"].upstream.state is State.LEAVING
 
 
+class TestUnseenChange:
+    """Logs tell how long a change may have been on the platform unseen."""
+
+    def test_gap_is_the_time_since_the_last_confirmation(
+        self, listing: UpstreamListing, clock: ManualClock
+    ) -> None:
+        assert listing.gap_s == 0.0
+        clock.now += 1.0
+        listing.confirm(6, listing.digest)
+        clock.now += 0.4
+        listing.apply_snapshot(make_snapshot(7, make_entry("u1")))
+        assert listing.gap_s == pytest.approx(0.4)
+
+
 class TestGap:
     """Entries of live upstreams expire while the platform is unavailable."""
 
