Show that leaving upstreams stay in use while readers are turned away

The test plays 32 members in three zones on the test clock, with the real membership and synchronization, and a platform that turns away the best-ranked members.

--- /dev/null
+++ b/src/hawthornmast/gateway/tests/fleet.py
@@ -0,0 +1,255 @@
+"""A simulated fleet of members, on trio's mock clock."""
+
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+from result import Err
+from result import Ok
+from result import Result
+import trio
+
+from hawthornmast.common import Instance
+from hawthornmast.common import State
+from hawthornmast.common import StepError
+from hawthornmast.gateway import GatewayMember
+from hawthornmast.gateway import member as member_module
+from hawthornmast.gateway.datagrams import MessageKind
+from hawthornmast.gateway.options import GatewayOptions
+from hawthornmast.gateway.snapshots import PULL_TIMEOUT_S
+from hawthornmast.gateway.tests.support import make_configuration
+from hawthornmast.gateway.tests.support import make_listed_upstream
+from hawthornmast.membership.listing import UpstreamSnapshot
+from hawthornmast.membership.placement import zone_rank_key
+from hawthornmast.platform.headers import PlatformClientDialect
+from hawthornmast.platform.headers import PlatformUpstreamDialect
+from hawthornmast.routing import Configuration
+
+NETWORK_DELAY_S = 0.002
+READ_DELAY_S = 0.008
+
+
+class Platform:
+    """The platform of a simulated fleet.
+
+    Attributes
+    ----------
+    refused
+        Members that are turned away at once.
+    silent
+        Members whose reads aren't answered.
+    read_delay_s
+        Time of a read; the state is that at half of it.
+    """
+
+    def __init__(self, upstream_count: int) -> None:
+        self.revision = 1
+        self.configuration = make_configuration()
+        self.entries = {
+            f"u{number}": make_listed_upstream(f"u{number}")
+            for number in range(upstream_count)
+        }
+        self.refused: set[str] = set()
+        self.silent: set[str] = set()
+        self.read_delay_s = READ_DELAY_S
+        self.calls = 0
+
+    def mark_leaving(self, name: str) -> None:
+        """Apply an upstream's announcement that it leaves."""
+        entry = self.entries[name]
+        self.entries[name] = attrs.evolve(
+            entry, upstream=attrs.evolve(entry.upstream, state=State.LEAVING)
+        )
+        self.revision += 1
+
+    def remove(self, name: str) -> None:
+        """Remove the entry of an upstream."""
+        del self.entries[name]
+        self.revision += 1
+
+
+class PlatformReader:
+    """Reads of one member."""
+
+    def __init__(self, platform: Platform, name: str) -> None:
+        self._platform = platform
+        self._name = name
+
+    async def read_listing(
+        self, *, timeout_s: float
+    ) -> Result[UpstreamSnapshot, StepError]:
+        """Return the list of upstreams."""
+        return await self._read(
+            lambda: UpstreamSnapshot(
+                revision=self._platform.revision,
+                entries=tuple(self._platform.entries.values()),
+            ),
+            timeout_s,
+        )
+
+    async def read_configuration(
+        self, *, timeout_s: float
+    ) -> Result[Configuration | None, StepError]:
+        """Return the configuration."""
+        return await self._read(
+            lambda: self._platform.configuration, timeout_s
+        )
+
+    async def _read(
+        self, get: Any, timeout_s: float
+    ) -> Result[Any, StepError]:
+        platform = self._platform
+        platform.calls += 1
+        if self._name in platform.silent:
+            await trio.sleep(timeout_s)
+            return Err(StepError(step="read", detail="no answer"))
+        await trio.sleep(platform.read_delay_s / 2)
+        value = get()
+        await trio.sleep(platform.read_delay_s / 2)
+        if self._name in platform.refused:
+            return Err(StepError(step="read", detail="status 429"))
+        return Ok(value)
+
+
+class SimulatedTransport:
+    """Delivers datagrams within a fleet."""
+
+    fleet: "Fleet"
+
+    def __init__(self, host: str, port: int, *, handle: Any) -> None:
+        self._host = host
+        self.handle = handle
+        self.sent_bytes = 0
+        self.refused = 0
+
+    def send(
+        self, hosts: Iterable[str], kind: MessageKind, payload: Any
+    ) -> None:
+        """Send a message to each host."""
+        for host in hosts:
+            self.fleet.nursery.start_soon(
+                self.fleet.deliver, self._host, host, kind, payload
+            )
+
+
+class Fleet:
+    """Members of a simulated fleet that share one platform.
+
+    Parameters
+    ----------
+    zones
+        Number of members in each zone.
+    upstream_count
+        Number of upstreams, named ``u0``, ``u1`` and so on.
+    nursery
+        Runs the members.
+    monkeypatch
+        Replaces the transport of datagrams.
+
+    Attributes
+    ----------
+    dark
+        Members that neither send nor receive.
+    """
+
+    def __init__(
+        self,
+        zones: Iterable[int],
+        *,
+        upstream_count: int,
+        nursery: trio.Nursery,
+        monkeypatch: Any,
+    ) -> None:
+        self.nursery = nursery
+        self.platform = Platform(upstream_count)
+        self.dark: set[str] = set()
+        self.members: dict[str, GatewayMember] = {}
+        transport = type("Transport", (SimulatedTransport,), {"fleet": self})
+        monkeypatch.setattr(member_module, "DatagramTransport", transport)
+        hosts = [
+            (f"10.{zone}.0.{number}", f"zone-{zone}")
+            for zone, count in enumerate(zones)
+            for number in range(count)
+        ]
+        for host, zone in hosts:
+            self._start(host, zone, seeds=tuple(h for h, _ in hosts[:3]))
+
+    def ranked(self) -> list[str]:
+        """Return the hosts of all members in their order of reading.
+
+        The representatives come first, then the seconds of the zones.
+        """
+        zones: dict[str, list[Instance]] = {}
+        for member in self.members.values():
+            instance = member.options.instance
+            zones.setdefault(instance.zone, []).append(instance)
+        for items in zones.values():
+            items.sort(key=zone_rank_key)
+        keyed = [
+            (position, instance.host)
+            for items in zones.values()
+            for position, instance in enumerate(items)
+        ]
+        return [host for _, host in sorted(keyed)]
+
+    async def deliver(
+        self, sender: str, host: str, kind: MessageKind, payload: Any
+    ) -> None:
+        """Deliver a datagram unless either side is dark."""
+        await trio.sleep(NETWORK_DELAY_S)
+        if host in self.members and not {sender, host} & self.dark:
+            self.members[host].datagrams.handle(kind, payload, sender)
+
+    async def measure_spread(self, name: str) -> float:
+        """Return the seconds until no member uses an upstream any more."""
+        started_at = trio.current_time()
+        while any(
+            self._uses(member, name)
+            for host, member in self.members.items()
+            if host not in self.dark
+        ):
+            await trio.sleep(0.01)
+        return trio.current_time() - started_at
+
+    @staticmethod
+    def _uses(member: GatewayMember, name: str) -> bool:
+        entry = member.listing.entries.get(name)
+        return entry is not None and entry.upstream.state is State.LIVE
+
+    def _start(self, host: str, zone: str, *, seeds: tuple[str, ...]) -> None:
+        instance = Instance(
+            instance_id=f"m-{host}",
+            zone=zone,
+            host=host,
+            port=1,
+            peer_port=2,
+        )
+        member = GatewayMember(
+            GatewayOptions(instance=instance, seeds=seeds),
+            PlatformReader(self.platform, host),
+            client_dialect=PlatformClientDialect(),
+            upstream_dialect=PlatformUpstreamDialect(),
+        )
+        member._random.seed(len(self.members))
+        member._nursery = self.nursery
+        member.synchronizer._fetch_snapshot = self._make_fetcher(host)
+        self.members[host] = member
+        self.nursery.start_soon(member.synchronizer.run)
+        self.nursery.start_soon(member._run_periodic_tasks)
+
+    def _make_fetcher(self, receiver: str) -> Any:
+        async def fetch(
+            peer: Instance, version: int
+        ) -> Result[bytes, StepError]:
+            if {peer.host, receiver} & self.dark:
+                await trio.sleep(PULL_TIMEOUT_S)
+                return Err(StepError(step="connect", detail="no answer"))
+            # A connection is opened, then the snapshot is fetched.
+            await trio.sleep(2 * NETWORK_DELAY_S)
+            body = self.members[peer.host].synchronizer.encode_state_snapshot(
+                version
+            )
+            await trio.sleep(NETWORK_DELAY_S)
+            return Ok(body)
+
+        return fetch
--- /dev/null
+++ b/src/hawthornmast/gateway/tests/test_spread.py
@@ -0,0 +1,66 @@
+"""Tests of the time in which a change on the platform reaches all members."""
+
+import random
+
+import pytest
+import trio
+import trio.testing
+
+from hawthornmast.gateway.tests.fleet import Fleet
+
+DRAIN_BOUND_S = 2.0
+"""Time after which a leaving upstream must receive no new requests."""
+
+ZONES = (16, 8, 8)
+SETTLE_S = 5.0
+CHANGES = 6
+
+
+async def measure_worst(fleet: Fleet, *, seed: int = 1) -> float:
+    """Return the longest time that a leaving upstream stayed in use."""
+    rng = random.Random(seed)
+    worst = 0.0
+    for number in range(CHANGES):
+        await trio.sleep(rng.uniform(1.0, 4.0))
+        fleet.platform.mark_leaving(f"u{number}")
+        worst = max(worst, await fleet.measure_spread(f"u{number}"))
+    return worst
+
+
+@pytest.fixture
+async def fleet(
+    autojump_clock: trio.testing.MockClock,
+    nursery: trio.Nursery,
+    monkeypatch: pytest.MonkeyPatch,
+) -> Fleet:
+    """Return a fleet whose members know each other.
+
+    A test has to name ``autojump_clock`` as well, since pytest-trio doesn't
+    see the clocks of fixtures.
+    """
+    fleet = Fleet(
+        ZONES, upstream_count=30, nursery=nursery, monkeypatch=monkeypatch
+    )
+    await trio.sleep(SETTLE_S)
+    return fleet
+
+
+class TestLeavingUpstream:
+    """All members stop using a leaving upstream within the bound."""
+
+    async def test_with_a_calm_platform(
+        self, autojump_clock: trio.testing.MockClock, fleet: Fleet
+    ) -> None:
+        assert await measure_worst(fleet) <= DRAIN_BOUND_S
+
+    @pytest.mark.parametrize("answer", ["refused", "silent"])
+    @pytest.mark.parametrize("count", [3, 11])
+    async def test_while_the_best_ranked_members_cannot_read(
+        self,
+        autojump_clock: trio.testing.MockClock,
+        fleet: Fleet,
+        count: int,
+        answer: str,
+    ) -> None:
+        getattr(fleet.platform, answer).update(fleet.ranked()[:count])
+        assert await measure_worst(fleet) <= DRAIN_BOUND_S
