Pass on what a member has read without waiting for heartbeats

Cause: callers' requests reached an upstream over 2 s after it had said that it leaves (DRAIN). A reader that is not the representative of its zone told its own zone only; from there the change waited for two heartbeats of 0.4 s, of its own representative to the others and of these to their zones. With the best-ranked members turned away, which is when such members read, this came on top of up to 1.35 s between two reads.

Change: a reader announces its state to the other representatives itself, and a representative passes on at once what it pulled or what was confirmed in another zone. A relay doesn't wait for anything, so it adds only the time of two datagrams and two pulls.

--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -113,6 +113,7 @@
             on_configuration=self._apply_configuration,
             on_listing=self._apply_listing,
             announce=self._announce,
+            relay=self._relay,
             random_source=self._random,
         )
         self.services = ServiceRegistry(self._make_service)
@@ -323,13 +324,17 @@
             )
 
     def _announce(self) -> None:
-        """Send the state summary to the members of the zone.
+        """Send the state summary to the zone and to other representatives."""
+        self._send_summary(
+            self.gossip.zone_peers() + self.gossip.representatives()
+        )
 
-        The representative of the zone also sends it to those of other zones.
-        """
-        recipients = self.gossip.zone_peers()
+    def _relay(self) -> None:
+        """Send the state summary to the zone if this is its representative."""
         if self.gossip.is_representative():
-            recipients = recipients + self.gossip.representatives()
+            self._send_summary(self.gossip.zone_peers())
+
+    def _send_summary(self, recipients: list[Instance]) -> None:
         self.datagrams.send(
             [item.host for item in recipients],
             MessageKind.HEARTBEAT,
--- a/src/hawthornmast/gateway/sources.py
+++ b/src/hawthornmast/gateway/sources.py
@@ -5,10 +5,10 @@
 are ranked (``Gossip.rank``): the representatives of the zones first, then the
 other members in the order of their zone. Each member reads only when its state
 was not confirmed for longer than its rank allows. A member that has read the
-platform announces a summary of its state to its zone and, if it is the
-representative of the zone, to those of the other zones, which announce it to
-their zones with their heartbeats. Every member pulls state from a peer whose
-state is newer, as a snapshot with the list and, if needed, the configuration.
+platform announces a summary of its state to its zone and to the
+representatives of the other zones, which pass it on to their zones. Every
+member pulls state from a peer whose state is newer, as a snapshot with the
+list and, if needed, the configuration.
 
 The configuration is polled although the store of a platform may offer watches
 (streams of changes): a watch that has stalled can't be told from one without
@@ -73,6 +73,10 @@
 READ_TIMEOUT_S = 1.2
 READ_BACKOFF_S = 0.4
 
+MIN_RELAY_ADVANCE_S = 0.1
+"""Time by which a confirmation from another zone must be newer than the last
+one to be passed on at once rather than with the next heartbeat."""
+
 PULL_INTERVAL_S = 0.5
 """Interval at which a member with stale state pulls from a peer; added once
 more for each rank."""
@@ -121,8 +125,11 @@
     on_listing
         Called with the origin of the new list when the list has changed.
     announce
-        Sends the state summary to the zone and, from its representative, to
-        the representatives of the other zones.
+        Sends the state summary to the zone and to the representatives of the
+        other zones.
+    relay
+        Sends the state summary to the zone if this member is its
+        representative.
     random_source
         Random generator for the choice of the peer to pull from.
     fetch_snapshot
@@ -139,6 +146,7 @@
         on_configuration: Callable[[Configuration, str], None],
         on_listing: Callable[[str], None],
         announce: Callable[[], None],
+        relay: Callable[[], None],
         random_source: random.Random,
         fetch_snapshot: SnapshotFetcher = fetch_snapshot,
     ) -> None:
@@ -149,6 +157,7 @@
         self._on_configuration = on_configuration
         self._on_listing = on_listing
         self._announce = announce
+        self._relay = relay
         self._random = random_source
         self._started_at = trio.current_time()
         self._next_read_at = 0.0
@@ -230,6 +239,12 @@
             listing.confirmed_at = max(
                 previously_confirmed_at, now - summary.listing_age_s
             )
+            if (
+                sender.zone != self._gossip.instance.zone
+                and listing.confirmed_at - previously_confirmed_at
+                >= MIN_RELAY_ADVANCE_S
+            ):
+                self._relay()
 
     def encode_state_snapshot(self, version: int) -> bytes:
         """Return the state for a peer that has a configuration version.
@@ -364,7 +379,10 @@
                     detail=result.err_value.detail,
                 )
                 return
+            before = self.version, self._listing.digest
             self._apply_state_snapshot(result.ok_value, peer)
+            if (self.version, self._listing.digest) != before:
+                self._relay()
         finally:
             self._pulling = False
 
--- a/src/hawthornmast/gateway/tests/test_sources.py
+++ b/src/hawthornmast/gateway/tests/test_sources.py
@@ -39,6 +39,7 @@
             on_configuration=lambda c, origin: self.versions.append(c.version),
             on_listing=lambda origin: None,
             announce=self._announce,
+            relay=lambda: None,
             random_source=random.Random(1),
         )
 
