--- a/src/hawthornmast/gateway/tests/fleet.py
+++ b/src/hawthornmast/gateway/tests/fleet.py
@@ -211,6 +211,14 @@
             await trio.sleep(0.01)
         return trio.current_time() - started_at
 
+    async def wait_until_known(self, name: str) -> str:
+        """Return the first host that knows that an upstream leaves."""
+        while True:
+            for host, member in self.members.items():
+                if not self._uses(member, name):
+                    return host
+            await trio.sleep(0.001)
+
     @staticmethod
     def _uses(member: GatewayMember, name: str) -> bool:
         entry = member.listing.entries.get(name)
--- a/src/hawthornmast/gateway/tests/test_spread.py
+++ b/src/hawthornmast/gateway/tests/test_spread.py
@@ -7,6 +7,7 @@
 import trio.testing
 
 from hawthornmast.gateway.tests.fleet import Fleet
+from hawthornmast.gateway.tests.fleet import NETWORK_DELAY_S
 
 DRAIN_BOUND_S = 2.0
 """Time after which a leaving upstream must receive no new requests."""
@@ -89,3 +90,20 @@
     ) -> None:
         getattr(fleet.platform, answer).update(fleet.ranked()[:count])
         assert await measure_worst(fleet) <= DRAIN_BOUND_S
+
+    async def test_while_each_reader_is_lost_as_it_announces(
+        self, autojump_clock: trio.testing.MockClock, fleet: Fleet
+    ) -> None:
+        worst = 0.0
+        for number in range(3):
+            name = f"u{number}"
+            await trio.sleep(2.0)
+            fleet.platform.mark_leaving(name)
+            started_at = trio.current_time()
+            reader = await fleet.wait_until_known(name)
+            # Its announcement is on its way.
+            await trio.sleep(NETWORK_DELAY_S)
+            fleet.dark.add(reader)
+            await fleet.measure_spread(name)
+            worst = max(worst, trio.current_time() - started_at)
+        assert worst <= DRAIN_BOUND_S
