Count the age of a list from when the platform was asked

A list counted as confirmed when the platform's answer came, so after a slow answer it seemed newer than one that a peer had read later, and the peer's wasn't pulled until its next read.

Change: the list is confirmed as of the question. A list with a higher revision is pulled whatever its age; the age decides only between equal revisions, where entries that are kept after a gap differ.

Measured: test_slow_answer_does_not_hide_a_newer_list_of_a_peer failed before and passes.

--- a/src/hawthornmast/gateway/sources.py
+++ b/src/hawthornmast/gateway/sources.py
@@ -230,11 +230,14 @@
                 self._configuration_confirmed_at,
                 now - summary.configuration_age_s,
             )
+        has_newer_list = summary.revision > listing.revision or (
+            summary.revision == listing.revision
+            and summary.listing_age_s < now - listing.confirmed_at
+        )
         if summary.version > self.version or (
             summary.digest
             and summary.digest != listing.digest
-            and summary.revision >= listing.revision
-            and summary.listing_age_s < now - listing.confirmed_at
+            and has_newer_list
         ):
             if not self._pulling:
                 self._pulling = True
@@ -366,10 +369,11 @@
             self._reading = False
 
     async def _read_listing(self) -> bool:
+        asked_at = trio.current_time()
         result = await self._source.read_listing(timeout_s=READ_TIMEOUT_S)
         if not self._record_call(result):
             return False
-        if self._listing.apply_snapshot(result.unwrap()):
+        if self._listing.apply_snapshot(result.unwrap(), asked_at=asked_at):
             self._on_listing("platform")
         return True
 
@@ -429,23 +433,23 @@
     def _apply_peer_list(
         self, snapshot: StateSnapshot, peer: Instance
     ) -> None:
-        """Apply a peer's list if the platform confirmed it later.
+        """Apply a peer's list if it is newer.
 
         Raises ValueError, TypeError or IndexError if it is malformed.
         """
         listing = self._listing
         confirmed_at = trio.current_time() - snapshot.listing_age_s
-        if (
-            snapshot.encoded_list is None
-            or confirmed_at <= listing.confirmed_at
+        if snapshot.encoded_list is None:
+            return
+        revision = int(snapshot.encoded_list[0])
+        if revision < listing.revision or (
+            revision == listing.revision
+            and confirmed_at <= listing.confirmed_at
         ):
             return
-        changed = listing.apply_peer_list(snapshot.encoded_list)
-        # The first item is the revision. An older list was ignored and
-        # confirms nothing.
-        if int(snapshot.encoded_list[0]) >= listing.revision:
-            listing.confirmed_at = confirmed_at
-        if changed:
+        if listing.apply_peer_list(
+            snapshot.encoded_list, confirmed_at=confirmed_at
+        ):
             self._on_listing(peer.instance_id)
 
     def _record_call(self, result: Result[Any, StepError]) -> bool:
--- a/src/hawthornmast/gateway/tests/support.py
+++ b/src/hawthornmast/gateway/tests/support.py
@@ -95,6 +95,7 @@
             revision=5, entries=(make_listed_upstream("u1"),)
         )
         self.down = False
+        self.delay_s = 0.0
         self.calls: list[str] = []
 
     async def read_listing(
@@ -103,7 +104,9 @@
         """Return the list of upstreams."""
         del timeout_s
         self.calls.append("listing")
-        return self._answer(self.snapshot)
+        answer = self._answer(self.snapshot)
+        await trio.sleep(self.delay_s)
+        return answer
 
     async def read_configuration(
         self, *, timeout_s: float
--- a/src/hawthornmast/gateway/tests/test_sources.py
+++ b/src/hawthornmast/gateway/tests/test_sources.py
@@ -6,8 +6,10 @@
 import attrs
 import msgpack
 import pytest
+from result import Ok
 import trio
 
+from hawthornmast.common import Instance
 from hawthornmast.gateway.snapshots import decode_summary
 from hawthornmast.gateway.snapshots import MAX_CONFIGURATION_BYTES
 from hawthornmast.gateway.snapshots import PULL_TIMEOUT_S
@@ -106,6 +108,36 @@
         assert caplog.text.count("platform-lost") == 1
         assert caplog.text.count("platform-regained") == 1
 
+    async def test_slow_answer_does_not_hide_a_newer_list_of_a_peer(
+        self, autojump_clock: trio.testing.MockClock, reader: Reader
+    ) -> None:
+        # The platform answers with what it had before the peer asked.
+        reader.platform.delay_s = 1.0
+        other = Reader()
+        other.platform.snapshot = UpstreamSnapshot(
+            revision=7, entries=(make_listed_upstream("u2"),)
+        )
+        await trio.sleep(0.9)
+        assert await other.synchronizer._read_listing()
+        asked_at = trio.current_time()
+        pulled: list[str] = []
+
+        async def fetch(peer: Instance, version: int) -> Ok[bytes]:
+            pulled.append(peer.instance_id)
+            return Ok(other.synchronizer.encode_state_snapshot(version))
+
+        reader.synchronizer._fetch_snapshot = fetch
+        await trio.sleep(0.6)
+        assert reader.listing.confirmed_at < asked_at
+        async with trio.open_nursery() as nursery:
+            reader.synchronizer.receive(
+                other.synchronizer.summarize(),
+                make_gossip(2).instance,
+                nursery,
+            )
+        assert pulled == ["member-2"]
+        assert set(reader.listing.entries) == {"u2"}
+
     async def test_no_configuration_yet(
         self, autojump_clock: trio.testing.MockClock, nursery: trio.Nursery
     ) -> None:
--- a/src/hawthornmast/membership/listing.py
+++ b/src/hawthornmast/membership/listing.py
@@ -106,10 +106,18 @@
         self.confirmed_at = self._clock()
         return True
 
-    def apply_snapshot(self, snapshot: UpstreamSnapshot) -> bool:
+    def apply_snapshot(
+        self, snapshot: UpstreamSnapshot, *, asked_at: float | None = None
+    ) -> bool:
         """Apply a snapshot of the platform; return whether entries changed.
 
         A snapshot older than the accepted list is ignored.
+
+        Parameters
+        ----------
+        asked_at
+            Monotonic time at which the platform was asked, now by default.
+            The snapshot may be as old as that.
         """
         if self.is_loaded and snapshot.revision < self.revision:
             return False
@@ -129,19 +137,29 @@
                 del self._retained_until[key]
         for item in snapshot.entries:
             self._retained_until.pop(item.upstream.upstream_id, None)
-        return self._replace(snapshot.revision, listed, now)
+        confirmed_at = now if asked_at is None else asked_at
+        return self._replace(snapshot.revision, listed, confirmed_at)
 
-    def apply_peer_list(self, encoded: Any) -> bool:
+    def apply_peer_list(
+        self, encoded: Any, *, confirmed_at: float | None = None
+    ) -> bool:
         """Apply the list of another daemon; return whether entries changed.
 
         Raises ValueError, TypeError or IndexError for anything else.
+
+        Parameters
+        ----------
+        confirmed_at
+            Monotonic time at which the platform confirmed it, now by default.
         """
         revision, entries = encoded
         decoded = [_decode_entry(item) for item in entries]
         if self.is_loaded and int(revision) < self.revision:
             return False
         listed = {item.upstream.upstream_id: item for item in decoded}
-        return self._replace(int(revision), listed, self._clock())
+        if confirmed_at is None:
+            confirmed_at = self._clock()
+        return self._replace(int(revision), listed, confirmed_at)
 
     def encode(self) -> list[Any]:
         """Encode the list as plain values for other daemons."""
@@ -151,11 +169,14 @@
         ]
 
     def _replace(
-        self, revision: int, listed: dict[str, ListedUpstream], now: float
+        self,
+        revision: int,
+        listed: dict[str, ListedUpstream],
+        confirmed_at: float,
     ) -> bool:
-        gap_s = now - self.confirmed_at if self.is_loaded else 0.0
+        gap_s = self._clock() - self.confirmed_at if self.is_loaded else 0.0
         self.revision = revision
-        self.confirmed_at = now
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
         if listed == self.entries and self.is_loaded:
             return False
         self.gap_s = gap_s
