Keep entries that a resumed member missed out of other members' lists

A member whose list was unconfirmed for over 1.5 s keeps missing entries for 2.2 s, since they may have expired while the platform was away. A member that was paused or cut off can't tell that from entries that were removed meanwhile. It passed the list on with them, so that upstreams which had gone were used again by all, for up to 2.2 s.

Change: entries that are kept stay in force on this member only. The list that others get, and its digest, are what the platform has; each member decides for itself which missing entries it keeps.

Measured: test_resumed_member_does_not_list_a_removed_one_again failed before (all zones listed it again) and passes.

--- a/src/hawthornmast/gateway/sources.py
+++ b/src/hawthornmast/gateway/sources.py
@@ -212,6 +212,8 @@
         """Synchronize until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
+                if self._listing.drop_expired():
+                    self._on_listing("expiry")
                 self._start_due_tasks(nursery)
                 await trio.sleep(
                     STARTUP_CHECK_INTERVAL_S
--- a/src/hawthornmast/gateway/tests/fleet.py
+++ b/src/hawthornmast/gateway/tests/fleet.py
@@ -38,6 +38,8 @@
         Members that are turned away at once.
     silent
         Members whose reads aren't answered.
+    paused
+        Members that go on with their reads only when they are removed here.
     read_delay_s
         Time of a read; the state is that at half of it.
     """
@@ -51,6 +53,7 @@
         }
         self.refused: set[str] = set()
         self.silent: set[str] = set()
+        self.paused: set[str] = set()
         self.read_delay_s = READ_DELAY_S
         self.calls = 0
 
@@ -103,6 +106,8 @@
         if self._name in platform.silent:
             await trio.sleep(timeout_s)
             return Err(StepError(step="read", detail="no answer"))
+        while self._name in platform.paused:
+            await trio.sleep(0.01)
         await trio.sleep(platform.read_delay_s / 2)
         value = get()
         await trio.sleep(platform.read_delay_s / 2)
--- a/src/hawthornmast/gateway/tests/test_spread.py
+++ b/src/hawthornmast/gateway/tests/test_spread.py
@@ -107,3 +107,25 @@
             await fleet.measure_spread(name)
             worst = max(worst, trio.current_time() - started_at)
         assert worst <= DRAIN_BOUND_S
+
+    async def test_resumed_member_does_not_list_a_removed_one_again(
+        self, autojump_clock: trio.testing.MockClock, fleet: Fleet
+    ) -> None:
+        absent = fleet.ranked()[0]
+        fleet.dark.add(absent)
+        fleet.platform.paused.add(absent)
+        await trio.sleep(2.0)
+        fleet.platform.remove("u0")
+        await fleet.measure_spread("u0")
+        await trio.sleep(2.0)
+        fleet.dark.clear()
+        fleet.platform.paused.clear()
+        for _ in range(200):
+            await trio.sleep(0.02)
+            listing_it = [
+                host
+                for host, member in fleet.members.items()
+                if "u0" in member.listing.entries
+            ]
+            assert set(listing_it) <= {absent}
+        assert not listing_it
--- a/src/hawthornmast/membership/listing.py
+++ b/src/hawthornmast/membership/listing.py
@@ -73,6 +73,11 @@
 
     Attributes
     ----------
+    entries
+        The entries in force by identifier: those on the platform and those
+        that may be about to return.
+    digest
+        Digest of the entries on the platform, empty before the first list.
     gap_s
         Seconds that the last change may have been on the platform unseen:
         the time between the confirmations before and after it, 0 for the
@@ -83,6 +88,7 @@
         self._clock = clock
         self.revision = 0
         self.entries: dict[str, ListedUpstream] = {}
+        self._listed: dict[str, ListedUpstream] = {}
         self.digest = b""
         # Long ago but finite, because the age is logged as an integer.
         self.confirmed_at = -1e9
@@ -121,24 +127,8 @@
         """
         if self.is_loaded and snapshot.revision < self.revision:
             return False
-        now = self._clock()
-        gap = now - self.confirmed_at
         listed = {item.upstream.upstream_id: item for item in snapshot.entries}
-        if self.is_loaded:
-            for key in self.entries.keys() - listed.keys():
-                if gap > MAX_CONFIRMATION_GAP_S:
-                    self._retained_until.setdefault(
-                        key, now + REGISTRATION_GRACE_S
-                    )
-                if self._retained_until.get(key, 0.0) > now:
-                    listed[key] = self.entries[key]
-        for key in list(self._retained_until):
-            if self._retained_until[key] <= now or key not in listed:
-                del self._retained_until[key]
-        for item in snapshot.entries:
-            self._retained_until.pop(item.upstream.upstream_id, None)
-        confirmed_at = now if asked_at is None else asked_at
-        return self._replace(snapshot.revision, listed, confirmed_at)
+        return self._replace(snapshot.revision, listed, asked_at)
 
     def apply_peer_list(
         self, encoded: Any, *, confirmed_at: float | None = None
@@ -157,33 +147,66 @@
         if self.is_loaded and int(revision) < self.revision:
             return False
         listed = {item.upstream.upstream_id: item for item in decoded}
-        if confirmed_at is None:
-            confirmed_at = self._clock()
         return self._replace(int(revision), listed, confirmed_at)
 
+    def drop_expired(self) -> bool:
+        """Drop entries whose time to return is over; return whether any."""
+        now = self._clock()
+        expired = [k for k, at in self._retained_until.items() if at <= now]
+        for key in expired:
+            del self._retained_until[key]
+            del self.entries[key]
+        return bool(expired)
+
     def encode(self) -> list[Any]:
         """Encode the list as plain values for other daemons."""
         return [
             self.revision,
-            [_encode_entry(i) for i in self.entries.values()],
+            [_encode_entry(i) for i in self._listed.values()],
         ]
 
     def _replace(
         self,
         revision: int,
         listed: dict[str, ListedUpstream],
-        confirmed_at: float,
+        confirmed_at: float | None,
     ) -> bool:
-        gap_s = self._clock() - self.confirmed_at if self.is_loaded else 0.0
+        now = self._clock()
+        gap_s = now - self.confirmed_at if self.is_loaded else 0.0
         self.revision = revision
-        self.confirmed_at = max(self.confirmed_at, confirmed_at)
-        if listed == self.entries and self.is_loaded:
+        self.confirmed_at = max(
+            self.confirmed_at, now if confirmed_at is None else confirmed_at
+        )
+        in_force = listed | self._retain_missing(listed, gap_s, now)
+        if listed != self._listed or not self.is_loaded:
+            self._listed = listed
+            self.digest = digest_entries(listed.values())
+        if in_force == self.entries:
             return False
+        self.entries = in_force
         self.gap_s = gap_s
-        self.entries = listed
-        self.digest = digest_entries(listed.values())
         return True
 
+    def _retain_missing(
+        self, listed: dict[str, ListedUpstream], gap_s: float, now: float
+    ) -> dict[str, ListedUpstream]:
+        """Return the missing entries that stay in force for now.
+
+        They are not part of the list that other daemons get: a daemon that
+        was away itself can't tell an entry that expired from one that others
+        have seen removed.
+        """
+        missing = self.entries.keys() - listed.keys()
+        if gap_s > MAX_CONFIRMATION_GAP_S:
+            for key in missing - self._retained_until.keys():
+                self._retained_until[key] = now + REGISTRATION_GRACE_S
+        self._retained_until = {
+            key: until
+            for key, until in self._retained_until.items()
+            if key in missing and until > now
+        }
+        return {key: self.entries[key] for key in self._retained_until}
+
 
 def digest_entries(entries: Iterable[ListedUpstream]) -> bytes:
     """Return a digest of the entries that doesn't depend on their order."""
