--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -28,9 +28,10 @@
 from hawthornmast.gateway.metrics import GatewayMetrics
 from hawthornmast.gateway.options import GatewayOptions
 from hawthornmast.gateway.server import GatewayServer
-from hawthornmast.gateway.services import compute_retry_slack
 from hawthornmast.gateway.services import ServiceRegistry
 from hawthornmast.gateway.services import ServiceState
+from hawthornmast.gateway.shares import compute_retry_slack
+from hawthornmast.gateway.shares import FleetPosition
 from hawthornmast.gateway.snapshots import decode_summary
 from hawthornmast.gateway.snapshots import SNAPSHOT_PATH
 from hawthornmast.gateway.sources import PlatformSource
@@ -270,22 +271,24 @@
             self._update_members()
             self._send_heartbeats(self.gossip.due_heartbeats())
             self.evidence.tick()
-            own_id = self.options.instance.instance_id
-            is_advertised = any(
-                item.instance_id == own_id for item in self._advertised
+            position = self._find_position()
+            slack = compute_retry_slack(
+                self.options.bounds,
+                position,
+                uptime_s=trio.current_time() - self._started_at,
             )
-            slack = self._compute_retry_slack(is_advertised)
             for state in self.services:
-                state.tick(slack=slack, is_advertised=is_advertised)
+                state.tick(slack=slack, is_advertised=position.is_advertised)
 
-    def _compute_retry_slack(self, is_advertised: bool) -> float:
-        return compute_retry_slack(
-            self.options.bounds,
+    def _find_position(self) -> FleetPosition:
+        own_id = self.options.instance.instance_id
+        return FleetPosition(
             advertised_count=len(self._advertised),
-            is_advertised=is_advertised,
+            is_advertised=any(
+                item.instance_id == own_id for item in self._advertised
+            ),
             zones=len({item.zone for item in self._advertised}),
             live_in_zone=len(self.gossip.zone_peers()) + 1,
-            uptime_s=trio.current_time() - self._started_at,
         )
 
     def _update_members(self) -> None:
--- a/src/hawthornmast/gateway/services.py
+++ b/src/hawthornmast/gateway/services.py
@@ -20,6 +20,8 @@
 from hawthornmast.common import Upstream
 from hawthornmast.gateway.coverage import CoverageLog
 from hawthornmast.gateway.options import Bounds
+from hawthornmast.gateway.shares import ADVERTISED_SLACK_FRACTION
+from hawthornmast.gateway.shares import INITIAL_SLACK_FRACTION
 from hawthornmast.limits import Dispatcher
 from hawthornmast.limits import FleetRetryBudget
 from hawthornmast.limits import SharedPool
@@ -39,16 +41,6 @@
 """Maximum number of requests queued for a service in one member; in practice,
 request deadlines bound the queue first."""
 
-ADVERTISED_SLACK_FRACTION = 0.45
-"""Fraction of the retry slack that is divided among the advertised members.
-The same fraction is reserved for the members that take over from them."""
-
-UNADVERTISED_SLACK_FRACTION = 0.1
-"""Fraction of the retry slack that is divided among all other members."""
-
-INITIAL_SLACK_FRACTION = 0.3
-"""Fraction of its own slack that a member has when it starts."""
-
 MIN_TRIAL_BUDGET_FRACTION = 0.5
 """Fraction of the retry budget below which no trial requests are sent, so that
 the rest can cover other failures."""
@@ -68,52 +60,6 @@
 """Weight of the newest sample in the moving average of a route's latency."""
 
 
-def compute_retry_slack(
-    bounds: Bounds,
-    *,
-    advertised_count: int,
-    is_advertised: bool,
-    zones: int,
-    live_in_zone: int,
-    uptime_s: float,
-) -> float:
-    """Return the share of the fleet's retry slack for one member.
-
-    The share grows during the first window after the start, because the
-    previous process may just have spent it.
-
-    Parameters
-    ----------
-    bounds
-        Limits that the operators set.
-    advertised_count
-        Number of advertised members.
-    is_advertised
-        Whether this member is one of them.
-    zones
-        Number of zones with live members.
-    live_in_zone
-        Number of live members in this member's zone.
-    uptime_s
-        Seconds since this member started.
-    """
-    if is_advertised:
-        slack_share = (
-            bounds.retry_slack
-            * ADVERTISED_SLACK_FRACTION
-            / max(1, advertised_count)
-        )
-    else:
-        slack_share = bounds.retry_slack * UNADVERTISED_SLACK_FRACTION
-        slack_share /= max(1, zones) * max(1, live_in_zone)
-    # Fraction of the first window that has passed.
-    window_fraction = min(1.0, uptime_s / bounds.retry_window_s)
-    return slack_share * (
-        INITIAL_SLACK_FRACTION
-        + (1.0 - INITIAL_SLACK_FRACTION) * window_fraction
-    )
-
-
 def make_catalogue_entry(route: Route) -> Entry:
     """Return the catalogue entry by which the dispatcher ranks a route."""
     return Entry(
