Keep the limits that upstreams state, all members together

Cause: a back end in need got far more requests than the limit that it had named (LIMIT): no code read the header, and selection goes by failures and slots in use.

Change: the stated rate is decoded with the response; each member sends its share of it, by a token bucket for each upstream: 0.9 of the rate divided among the advertised members, the rest among all others. Shares need no messages, so that lost ones can't let the members exceed the rate together. A response without the header ends the limit. Requests for which the limits leave no room in time are refused at once.

--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -289,6 +289,10 @@
     ) -> ClientResponse | None:
         assessment = self._dialect.assess_response(exchange, context.request)
         valid = assessment.valid
+        if valid or (assessment.matches_request and assessment.not_executed):
+            context.state.record_limit(
+                upstream.upstream_id, assessment.rate_limit_per_s
+            )
         try:
             if assessment.misdirected:
                 context.state.pool.mark_moved(upstream.upstream_id)
--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -30,6 +30,7 @@
 from hawthornmast.gateway.server import GatewayServer
 from hawthornmast.gateway.services import ServiceRegistry
 from hawthornmast.gateway.services import ServiceState
+from hawthornmast.gateway.shares import compute_rate_share
 from hawthornmast.gateway.shares import compute_retry_slack
 from hawthornmast.gateway.shares import FleetPosition
 from hawthornmast.gateway.snapshots import decode_summary
@@ -277,8 +278,13 @@
                 position,
                 uptime_s=trio.current_time() - self._started_at,
             )
+            rate_share = compute_rate_share(position)
             for state in self.services:
-                state.tick(slack=slack, is_advertised=position.is_advertised)
+                state.tick(
+                    slack=slack,
+                    rate_share=rate_share,
+                    is_advertised=position.is_advertised,
+                )
 
     def _find_position(self) -> FleetPosition:
         own_id = self.options.instance.instance_id
--- a/src/hawthornmast/gateway/services.py
+++ b/src/hawthornmast/gateway/services.py
@@ -178,7 +178,27 @@
             seen_by=peer or "self",
         )
 
-    def tick(self, *, slack: float, is_advertised: bool) -> None:
+    def record_limit(self, upstream_id: str, rate_per_s: float | None) -> None:
+        """Apply the rate that an upstream stated in a response.
+
+        Parameters
+        ----------
+        rate_per_s
+            Requests per second from all members together, None for no limit.
+        """
+        if self.pool.record_limit(upstream_id, rate_per_s):
+            log_event(
+                _LOG,
+                "upstream-limit",
+                service=self.name,
+                upstream=upstream_id,
+                limit="-" if rate_per_s is None else rate_per_s,
+                share=round(self.pool.rate_share, 4),
+            )
+
+    def tick(
+        self, *, slack: float, rate_share: float, is_advertised: bool
+    ) -> None:
         """Update the retry slack, dispatch queued requests, log the coverage.
 
         Called periodically by the member.
@@ -187,11 +207,14 @@
         ----------
         slack
             This member's share of the retry slack.
+        rate_share
+            This member's share of the rates that upstreams state.
         is_advertised
             Whether clients are given the address of this member, so that it
             receives most requests of its zone.
         """
         self.budget.slack = slack
+        self.pool.rate_share = rate_share
         # Only advertised members send requests to upstreams that are new or
         # may have recovered. The others receive few requests, and each
         # upstream tried costs a connection.
--- a/src/hawthornmast/gateway/shares.py
+++ b/src/hawthornmast/gateway/shares.py
@@ -17,6 +17,10 @@
 INITIAL_SLACK_FRACTION = 0.3
 """Fraction of its own slack that a member has when it starts."""
 
+ADVERTISED_RATE_FRACTION = 0.9
+"""Fraction of the rate that an upstream takes that is divided among the
+advertised members; the rest is divided among all other members."""
+
 
 @attrs.frozen(kw_only=True)
 class FleetPosition:
@@ -81,3 +85,11 @@
         INITIAL_SLACK_FRACTION
         + (1.0 - INITIAL_SLACK_FRACTION) * window_fraction
     )
+
+
+def compute_rate_share(position: FleetPosition) -> float:
+    """Return the share of an upstream's stated rate for one member."""
+    return position.divide(
+        advertised=ADVERTISED_RATE_FRACTION,
+        others=1.0 - ADVERTISED_RATE_FRACTION,
+    )
--- a/src/hawthornmast/gateway/tests/test_services.py
+++ b/src/hawthornmast/gateway/tests/test_services.py
@@ -76,5 +76,5 @@
                 deadline=1e9,
             )
             admitted.unwrap().release()
-        boxes.tick(slack=0.0, is_advertised=True)
+        boxes.tick(slack=0.0, rate_share=1.0, is_advertised=True)
         assert boxes.pool.silence_timeout_s > 3 * 1.8
--- a/src/hawthornmast/gateway/upstreams.py
+++ b/src/hawthornmast/gateway/upstreams.py
@@ -25,12 +25,16 @@
         The upstream states that it did not execute the request.
     misdirected
         Another upstream uses the address now.
+    rate_limit_per_s
+        Requests per second that the upstream takes from all members together,
+        None if it states no limit.
     """
 
     matches_request: bool = True
     intact: bool = True
     not_executed: bool = False
     misdirected: bool = False
+    rate_limit_per_s: float | None = None
 
     @property
     def valid(self) -> bool:
--- a/src/hawthornmast/limits/dispatcher.py
+++ b/src/hawthornmast/limits/dispatcher.py
@@ -273,7 +273,9 @@
     ) -> Refusal | None:
         entry = queue.entry
         latest = waiter.deadline - self._compute_margin(waiter)
-        if now + self._estimate_wait(queue, now) > latest:
+        if now + self._estimate_wait(
+            queue, now
+        ) > latest or self._exceeds_limits(queue, waiter, latest - now):
             return self._refuse(
                 Reason.DEADLINE, f"deadline_ms={entry.deadline_ms}"
             )
@@ -292,6 +294,18 @@
         self._resolve(newest, Err(self._refuse(Reason.DISPLACED, text)))
         return None
 
+    def _exceeds_limits(
+        self, queue: _Queue, waiter: Waiter, seconds: float
+    ) -> bool:
+        """Return whether rate limits leave no request for a waiter in time."""
+        own = queue.classify(self._slots)
+        ahead = sum(
+            len(other.waiting)
+            for other in self._queues.values()
+            if other is queue or other.classify(self._slots) < own
+        )
+        return ahead + 1 > self._pool.count_allowed(seconds, waiter.exclude)
+
     def _select_victim(self, arriving: _Queue) -> _Queue:
         """Return the queue that gives up a place for a new request.
 
--- a/src/hawthornmast/limits/pool.py
+++ b/src/hawthornmast/limits/pool.py
@@ -179,6 +179,13 @@
             for key, member in self._members.items()
         )
 
+    def count_allowed(
+        self, seconds: float, exclude: Container[str] = ()
+    ) -> float:
+        """Return how many requests rate limits allow: any number."""
+        del seconds, exclude
+        return math.inf
+
     def has_candidate(self, exclude: Container[str] = ()) -> bool:
         """Return whether any upstream is eligible, even with no free slot."""
         return any(
--- a/src/hawthornmast/limits/pooled.py
+++ b/src/hawthornmast/limits/pooled.py
@@ -8,6 +8,7 @@
 from hawthornmast.common import Upstream
 from hawthornmast.health.belief import Belief
 from hawthornmast.limits.coverage import RECOVERY_S
+from hawthornmast.limits.rate import StatedLimit
 
 INITIAL_BACKOFF_S = 1.5
 """Backoff after a failed connection; doubles with each further failure up to
@@ -38,6 +39,8 @@
     # Whether the probability of failure exceeds MAX_FAILURE_PROBABILITY.
     # Unlike ``Standing.avoided``, this is only reported by ``on_change``.
     avoided: bool = False
+    # Rate that the upstream takes, None if it states none.
+    limit: StatedLimit | None = None
     # Slots in use by each peer, with the time of the report.
     peer_use: dict[str, tuple[int, float]] = attrs.field(factory=dict)
 
@@ -64,8 +67,44 @@
             and self.is_candidate()
         )
 
+    def record_limit(
+        self, rate_per_s: float | None, now: float, *, share: float
+    ) -> bool:
+        """Record the limit that a response stated, None for none.
+
+        Returns whether it differs from the one before.
+        """
+        if rate_per_s is None:
+            had_limit = self.limit is not None
+            self.limit = None
+            return had_limit
+        if self.limit is None:
+            self.limit = StatedLimit(rate_per_s=rate_per_s, stated_at=now)
+            return True
+        changed = self.limit.rate_per_s != rate_per_s
+        self.limit.restate(rate_per_s, now, share=share)
+        return changed
+
+    def limit_wait_s(self, now: float, *, share: float) -> float:
+        """Return the seconds until its limit allows a request."""
+        if self.limit is not None and self.limit.is_expired(now):
+            self.limit = None
+        if self.limit is None:
+            return 0.0
+        return self.limit.wait_s(now, share=share)
+
+    def count_allowed(
+        self, now: float, seconds: float, *, share: float
+    ) -> float:
+        """Return how many requests its limit allows within a time."""
+        if self.limit is None or self.limit.is_expired(now):
+            return math.inf
+        return self.limit.count_allowed(now, seconds, share=share)
+
     def record_request(self, now: float) -> None:
         """Take a slot for a request of this daemon."""
+        if self.limit is not None:
+            self.limit.spend()
         if not self.in_use:
             self.waiting_since = now
         self.in_use += 1
--- a/src/hawthornmast/limits/shared.py
+++ b/src/hawthornmast/limits/shared.py
@@ -112,6 +112,12 @@
         (``avoided``, ``trusted``, ``unreachable`` or ``moved``), the upstream
         identifier, its probability of failure and the daemon that observed
         the change (empty for this one).
+
+    Attributes
+    ----------
+    rate_share
+        This daemon's share of the rates that upstreams state for all daemons
+        together, from 0 to 1.
     """
 
     def __init__(
@@ -133,6 +139,7 @@
         self.members: dict[str, PooledUpstream] = {}
         self.silence_timeout_s = SILENCE_TIMEOUT_S
         self.explores = True
+        self.rate_share = 1.0
         self._outcomes = OutcomeWindow(clock)
         self._allowance = CoverageAllowance()
 
@@ -248,7 +255,9 @@
         if not member.is_candidate() or now < member.backoff_until:
             return False
         is_silent = now - member.waiting_since > self.silence_timeout_s
-        return not (member.in_use and is_silent)
+        if member.in_use and is_silent:
+            return False
+        return not member.limit_wait_s(now, share=self.rate_share)
 
     def _compute_cost(
         self, member: PooledUpstream, use: int, selection: _Selection
@@ -316,6 +325,20 @@
             for key, member in self.members.items()
         )
 
+    def count_allowed(
+        self, seconds: float, exclude: Container[str] = ()
+    ) -> float:
+        """Return how many requests the stated limits allow within a time.
+
+        It is infinite while an eligible upstream states none.
+        """
+        now = self._clock()
+        return sum(
+            member.count_allowed(now, seconds, share=self.rate_share)
+            for key, member in self.members.items()
+            if member.is_candidate() and key not in exclude
+        )
+
     def failure_probability(self, upstream_id: str) -> float:
         """Return the probability that an upstream is failing now."""
         member = self.members.get(upstream_id)
@@ -355,6 +378,16 @@
         if member is not None:
             member.record_response(self._clock())
 
+    def record_limit(self, upstream_id: str, rate_per_s: float | None) -> bool:
+        """Record the rate that an upstream stated in its last response.
+
+        Returns whether it differs from the one before.
+        """
+        member = self.members.get(upstream_id)
+        return member is not None and member.record_limit(
+            rate_per_s, self._clock(), share=self.rate_share
+        )
+
     def mark_unreachable(self, upstream_id: str) -> None:
         """Back off from an upstream after a failed connection.
 
--- a/src/hawthornmast/limits/waiting.py
+++ b/src/hawthornmast/limits/waiting.py
@@ -40,6 +40,12 @@
     def count_usable(self) -> int:
         """Return the number of usable slots, free or in use."""
 
+    def count_allowed(self, seconds: float, exclude: Container[str]) -> float:
+        """Return how many requests rate limits allow within a time.
+
+        It is infinite without limits.
+        """
+
     def has_candidate(self, exclude: Container[str]) -> bool:
         """Return whether any upstream is eligible, even with no free slot."""
 
--- a/src/hawthornmast/platform/headers.py
+++ b/src/hawthornmast/platform/headers.py
@@ -1,5 +1,7 @@
 """Request and response headers exchanged with clients and upstreams."""
 
+import re
+
 from hawthornmast.common import Upstream
 from hawthornmast.forwarding.dialect import parse_milliseconds
 from hawthornmast.forwarding.exchange import Exchange
@@ -12,6 +14,7 @@
 
 _RESERVED_HEADERS = frozenset({names.DEADLINE, names.EXPECTED_INSTANCE})
 _MISDIRECTED_REQUEST = 421
+_DECIMAL = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 
 
 class PlatformClientDialect:
@@ -89,4 +92,12 @@
             not_executed=misdirected
             or exchange.header(names.NOT_EXECUTED) is not None,
             misdirected=misdirected,
+            rate_limit_per_s=_parse_rate(exchange.header(names.RATE_LIMIT)),
         )
+
+
+def _parse_rate(value: bytes | None) -> float | None:
+    """Parse requests per second; None if there is no valid value."""
+    if value is None or _DECIMAL.fullmatch(value) is None:
+        return None
+    return float(value)
--- a/src/hawthornmast/platform/names.py
+++ b/src/hawthornmast/platform/names.py
@@ -7,6 +7,8 @@
 DEADLINE = b"hawthornmast-request-deadline"
 SIGNATURE = b"hawthornmast-response-signature"
 EXPECTED_INSTANCE = b"hawthornmast-expected-instance"
+# Requests per second that the sender takes from all daemons together.
+RATE_LIMIT = b"server-limit"
 NOT_EXECUTED = b"hawthornmast-not-executed"
 
 # Endpoints.
--- a/src/hawthornmast/platform/tests/test_headers.py
+++ b/src/hawthornmast/platform/tests/test_headers.py
@@ -180,6 +180,26 @@
             == assessment
         )
 
+    @pytest.mark.parametrize(
+        ("value", "rate"),
+        [
+            (b"3.9", 3.9),
+            (b"12", 12.0),
+            (b"0", 0.0),
+            (b"-1", None),
+            (b"1e400", None),
+            (b"nan", None),
+            (b"", None),
+            (b"3,9", None),
+        ],
+    )
+    def test_stated_limit(self, value: bytes, rate: float | None) -> None:
+        exchange = ResponseStub(200, [(b"server-limit", value)])
+        assessment = PlatformUpstreamDialect().assess_response(
+            exchange, make_request()
+        )
+        assert assessment.rate_limit_per_s == rate
+
     def test_unrequested_content_coding_is_altered(self) -> None:
         exchange = ResponseStub(
             200,
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -71,3 +71,26 @@
             assert count_busiest_window(backend, since) <= ALLOWED
             # A limited upstream is used, not avoided.
             assert count_busiest_window(backend, since) >= LIMIT_PER_S
+
+    async def test_request_that_it_leaves_no_room_for_is_refused_at_once(
+        self,
+    ) -> None:
+        async with run_deployment(boxes=1) as deployment:
+            backend = deployment.backends["boxes-0"]
+            backend.faults.extra_headers = [["Server-Limit", "0.1"]]
+            assert (await deployment.send("GET", "/read/1")).status == 200
+            started_at = trio.current_time()
+            response = await deployment.send("GET", "/read/1")
+            assert response.status == 503
+            assert float(response.header("Retry-After") or "0") > 0
+            assert trio.current_time() - started_at < 1.0
+            assert deployment.count_runs() == 0
+
+    async def test_limit_ends_with_a_response_that_states_none(self) -> None:
+        async with run_deployment(boxes=1) as deployment:
+            backend = deployment.backends["boxes-0"]
+            backend.faults.extra_headers = [["Server-Limit", "2.0"]]
+            assert (await deployment.send("GET", "/read/1")).status == 200
+            backend.faults.extra_headers = []
+            for _ in range(10):
+                assert (await deployment.send("GET", "/read/1")).status == 200
