Refuse entries that no request or message can carry

Cause: a report from operators of systems like the users': one odd entry in the list of upstreams ended all members, each time they started again. Nesting raises RecursionError, which nobody expected; a number over 64 bits, a lone surrogate or a start time below zero passed decoding and failed when the list was encoded for its digest; an identifier with a line break, a host name or an address out of range failed later, in the header or the connection of a request.

Keys are quoted whatever they contain, since the next page begins after the last one. Errors in log lines are cut to 300 characters.

--- a/src/hawthornmast/platform/store.py
+++ b/src/hawthornmast/platform/store.py
@@ -22,7 +22,18 @@
 
 MAX_PAGES = 200
 
-_DECODING_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
+MAX_DETAIL_LENGTH = 300
+"""Characters of an error in a log line; the value may be of any length."""
+
+_DECODING_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    # Values that are nested too deeply or too large for their type.
+    RecursionError,
+    OverflowError,
+)
 
 
 class PlatformStore:
@@ -101,7 +112,11 @@
         *,
         allow_missing: bool = False,
     ) -> Result[Any, StepError]:
-        target = f"{path}?{urllib.parse.urlencode(query, safe='/')}"
+        # Keys of other writers may contain anything that JSON allows.
+        encoded = urllib.parse.urlencode(
+            query, safe="/", errors="surrogatepass"
+        )
+        target = f"{path}?{encoded}"
         async with self._lock:
             done = await self._client.request("GET", target, timeout=timeout_s)
         if isinstance(done, Err):
@@ -119,13 +134,13 @@
             )
         try:
             return Ok(response.json())
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             return self._malformed_response(path, error)
 
     def _malformed_response(
         self, path: str, error: Exception
     ) -> Err[StepError]:
-        detail = f"malformed response: {type(error).__name__}: {error}"
+        detail = f"malformed response: {_describe(error)}"
         return Err(
             StepError(
                 step=path.rpartition("/")[2],
@@ -155,7 +170,12 @@
                     _LOG,
                     "upstream-entry-refused",
                     level=logging.WARNING,
-                    upstream=key,
+                    upstream=key[:MAX_DETAIL_LENGTH],
                     revision=revision,
-                    detail=f"{type(error).__name__}: {error}",
+                    detail=_describe(error),
                 )
+
+
+def _describe(error: Exception) -> str:
+    """Return a bounded description of an error."""
+    return f"{type(error).__name__}: {error}"[:MAX_DETAIL_LENGTH]
--- a/src/hawthornmast/platform/values.py
+++ b/src/hawthornmast/platform/values.py
@@ -4,6 +4,7 @@
 import json
 import math
 import re
+import reprlib
 from typing import Any
 
 from hawthornmast.common import Rank
@@ -17,6 +18,7 @@
 from hawthornmast.routing import Target
 
 _DURATION_PATTERN = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+_PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 _STATES_BY_NAME = {"ready": State.LIVE, "draining": State.LEAVING}
 _IDEMPOTENT_BY_ROUTE_TYPE = {"idempotent": True, "non_idempotent": False}
 
@@ -55,9 +57,13 @@
     Raises ValueError for any other format.
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
-        raise ValueError(f"address is {text!r}, allowed: IP:PORT")
-    return host, int(port)
+    number = int(port) if _PORT_PATTERN.fullmatch(port) else 0
+    if not host or not 0 < number < 65_536:
+        raise ValueError(
+            f"address is {reprlib.repr(text)}, allowed: IP:PORT with a port"
+            " from 1 to 65535"
+        )
+    return host, number
 
 
 def decode_value(item: dict[str, Any]) -> Any:
@@ -130,28 +136,22 @@
     describes no upstream, such as one written by another program.
     """
     value = decode_value(item)
-    service, state, slots = value["Service"], value["State"], value["Slots"]
-    zone, born = value["Zone"], value.get("born", 0)
-    if not isinstance(service, str) or not isinstance(zone, str):
-        raise TypeError("Service and Zone must be strings")
+    state = value["State"]
     if state not in _STATES_BY_NAME:
         raise ValueError(
-            f"state is {state!r}, allowed: {', '.join(_STATES_BY_NAME)}"
+            f"state is {reprlib.repr(state)},"
+            f" allowed: {', '.join(_STATES_BY_NAME)}"
         )
-    if type(slots) is not int or slots < 1:
-        raise ValueError(f"slots is {slots!r}, allowed: 1 or more")
-    if type(born) is not int:
-        raise TypeError("born must be an integer")
     host, port = parse_address(value["Address"])
     return ListedUpstream(
-        service=service,
+        service=value["Service"],
         upstream=Upstream(
             upstream_id=key,
-            zone=zone,
+            zone=value["Zone"],
             host=host,
             port=port,
-            slots=slots,
+            slots=value["Slots"],
             state=_STATES_BY_NAME[state],
         ),
-        started_ms=born,
+        started_ms=value.get("born", 0),
     )
