Let unexpected errors end a step rather than the process

The tasks of a member share one nursery, so that an unexpected error in any of them ended the process; it started again, met the same input and ended again.

Change: the rounds of the synchronization, of the periodic tasks and of the clean-up, each datagram and each control connection log such an error (task-failed, with the place) and go on. Client connections did so already.

--- a/src/hawthornmast/audit/__init__.py
+++ b/src/hawthornmast/audit/__init__.py
@@ -6,6 +6,7 @@
 
 from hawthornmast.audit.bounded import BoundedHandler
 from hawthornmast.audit.bounded import open_bounded_log
+from hawthornmast.audit.failures import log_failures
 from hawthornmast.audit.logs import format_event
 from hawthornmast.audit.logs import log_event
 from hawthornmast.audit.trail import Action
@@ -19,5 +20,6 @@
     "Record",
     "format_event",
     "log_event",
+    "log_failures",
     "open_bounded_log",
 ]
--- a/src/hawthornmast/forwarding/server.py
+++ b/src/hawthornmast/forwarding/server.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from hawthornmast.audit import log_failures
 from hawthornmast.forwarding import endpoints
 from hawthornmast.forwarding import relay
 from hawthornmast.forwarding.connection import ClientConnection
@@ -269,25 +270,30 @@
                 if self._connections
                 else _IDLE_POLL_INTERVAL_S
             )
-            now = trio.current_time()
-            for connection in self._connections:
-                if connection.io_deadline <= now:
-                    connection.io_scope.cancel()
-            if not self._watched:
-                continue
-            poller = select.poll()
-            for fileno in self._watched:
-                poller.register(fileno, select.POLLRDHUP)
-            for fileno, events in poller.poll(0):
-                if events & _DISCONNECT_EVENTS:
-                    connection = self._watched[fileno]
-                    connection.trace.client_disconnected = True
-                    connection.request_scope.cancel()
+            with log_failures("poll-clients"):
+                self._poll_clients_once()
+
+    def _poll_clients_once(self) -> None:
+        now = trio.current_time()
+        for connection in self._connections:
+            if connection.io_deadline <= now:
+                connection.io_scope.cancel()
+        if not self._watched:
+            return
+        poller = select.poll()
+        for fileno in self._watched:
+            poller.register(fileno, select.POLLRDHUP)
+        for fileno, events in poller.poll(0):
+            if events & _DISCONNECT_EVENTS:
+                connection = self._watched[fileno]
+                connection.trace.client_disconnected = True
+                connection.request_scope.cancel()
 
     async def _clean_up_pools(self) -> None:
         while True:
             await trio.sleep(_POOL_CLEANUP_INTERVAL_S)
-            self._upstreams.close_idle()
+            with log_failures("clean-up-pools"):
+                self._upstreams.close_idle()
 
     def new_request_id(self) -> str:
         """Return a request identifier that is unique in the fleet."""
--- a/src/hawthornmast/gateway/datagrams.py
+++ b/src/hawthornmast/gateway/datagrams.py
@@ -12,6 +12,7 @@
 import trio
 
 from hawthornmast.audit import log_event
+from hawthornmast.audit import log_failures
 
 _LOG = logging.getLogger("hawthornmast.gateway.datagrams")
 
@@ -117,7 +118,8 @@
                         _LOG, "datagram-failed", detail=error.strerror or ""
                     )
                     break
-                self._dispatch(data, address[0])
+                with log_failures("receive-datagram"):
+                    self._dispatch(data, address[0])
 
     def _dispatch(self, data: bytes, sender_host: str) -> None:
         try:
--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -12,6 +12,7 @@
 
 from hawthornmast import http
 from hawthornmast.audit import log_event
+from hawthornmast.audit import log_failures
 from hawthornmast.common import Instance
 from hawthornmast.common import State
 from hawthornmast.forwarding import ClientLimits
@@ -268,23 +269,27 @@
                 if self.server.busy
                 else IDLE_TICK_INTERVAL_S
             )
-            self.gossip.ready = self.ready
-            self._update_members()
-            self._send_heartbeats(self.gossip.due_heartbeats())
-            self.evidence.tick()
-            position = self._find_position()
-            slack = compute_retry_slack(
-                self.options.bounds,
-                position,
-                uptime_s=trio.current_time() - self._started_at,
+            with log_failures("periodic"):
+                self._run_periodic_step()
+
+    def _run_periodic_step(self) -> None:
+        self.gossip.ready = self.ready
+        self._update_members()
+        self._send_heartbeats(self.gossip.due_heartbeats())
+        self.evidence.tick()
+        position = self._find_position()
+        slack = compute_retry_slack(
+            self.options.bounds,
+            position,
+            uptime_s=trio.current_time() - self._started_at,
+        )
+        rate_share = compute_rate_share(position)
+        for state in self.services:
+            state.tick(
+                slack=slack,
+                rate_share=rate_share,
+                is_advertised=position.is_advertised,
             )
-            rate_share = compute_rate_share(position)
-            for state in self.services:
-                state.tick(
-                    slack=slack,
-                    rate_share=rate_share,
-                    is_advertised=position.is_advertised,
-                )
 
     def _find_position(self) -> FleetPosition:
         own_id = self.options.instance.instance_id
--- a/src/hawthornmast/gateway/sources.py
+++ b/src/hawthornmast/gateway/sources.py
@@ -32,6 +32,7 @@
 import trio
 
 from hawthornmast.audit import log_event
+from hawthornmast.audit import log_failures
 from hawthornmast.common import Instance
 from hawthornmast.common import StepError
 from hawthornmast.gateway.snapshots import decode_snapshot
@@ -212,9 +213,10 @@
         """Synchronize until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                if self._listing.drop_expired():
-                    self._on_listing("expiry")
-                self._start_due_tasks(nursery)
+                with log_failures("synchronize"):
+                    if self._listing.drop_expired():
+                        self._on_listing("expiry")
+                    self._start_due_tasks(nursery)
                 await trio.sleep(
                     STARTUP_CHECK_INTERVAL_S
                     if self.uninitialized
@@ -353,22 +355,25 @@
     async def _read(
         self, read_rank: int, listing_due: bool, configuration_due: bool
     ) -> None:
-        try:
-            succeeded = True
-            if listing_due:
-                succeeded = await self._read_listing()
-            if configuration_due and succeeded:
-                succeeded = await self._read_configuration()
-            if succeeded:
-                self._last_read_at = trio.current_time()
-                self._read_jitter = self._random.random()
-                self._announce()
-            else:
-                self._next_read_at = trio.current_time() + READ_BACKOFF_S * (
-                    1 + read_rank
-                )
-        finally:
-            self._reading = False
+        succeeded = False
+        with log_failures("read-platform"):
+            succeeded = await self._read_due(listing_due, configuration_due)
+        self._reading = False
+        if succeeded:
+            self._last_read_at = trio.current_time()
+            self._read_jitter = self._random.random()
+            self._announce()
+        else:
+            self._next_read_at = trio.current_time() + READ_BACKOFF_S * (
+                1 + read_rank
+            )
+
+    async def _read_due(
+        self, listing_due: bool, configuration_due: bool
+    ) -> bool:
+        if listing_due and not await self._read_listing():
+            return False
+        return not configuration_due or await self._read_configuration()
 
     async def _read_listing(self) -> bool:
         asked_at = trio.current_time()
@@ -393,23 +398,25 @@
         return True
 
     async def _pull(self, peer: Instance) -> None:
-        try:
-            result = await self._fetch_snapshot(peer, self.version)
-            if isinstance(result, Err):
-                log_event(
-                    _LOG,
-                    "pull-failed",
-                    peer=peer.instance_id,
-                    step=result.err_value.step,
-                    detail=result.err_value.detail,
-                )
-                return
-            before = self.version, self._listing.digest
-            self._apply_state_snapshot(result.ok_value, peer)
-            if (self.version, self._listing.digest) != before:
-                self._relay()
-        finally:
-            self._pulling = False
+        with log_failures("pull"):
+            await self._pull_state(peer)
+        self._pulling = False
+
+    async def _pull_state(self, peer: Instance) -> None:
+        result = await self._fetch_snapshot(peer, self.version)
+        if isinstance(result, Err):
+            log_event(
+                _LOG,
+                "pull-failed",
+                peer=peer.instance_id,
+                step=result.err_value.step,
+                detail=result.err_value.detail,
+            )
+            return
+        before = self.version, self._listing.digest
+        self._apply_state_snapshot(result.ok_value, peer)
+        if (self.version, self._listing.digest) != before:
+            self._relay()
 
     def _apply_state_snapshot(self, body: bytes, peer: Instance) -> None:
         decoded = decode_snapshot(body)
--- a/src/hawthornmast/http/server.py
+++ b/src/hawthornmast/http/server.py
@@ -6,6 +6,7 @@
 import h11
 import trio
 
+from hawthornmast.audit import log_failures
 from hawthornmast.http.messages import json_response
 from hawthornmast.http.messages import Request
 from hawthornmast.http.messages import Response
@@ -39,7 +40,8 @@
     listeners = await trio.open_tcp_listeners(port, host=host)
 
     async def serve(stream: trio.SocketStream) -> None:
-        await serve_connection(stream, handler)
+        with log_failures("serve-control"):
+            await serve_connection(stream, handler)
 
     nursery.start_soon(trio.serve_listeners, serve, listeners)
 
