Believe a refusal only of the request that it names

Here the statement that a request wasn't run was believed although it named another one, so that work that must not be repeated was told not to have run, or went to a second back end, while the first one ran it. A stale 421 also took the upstream out of use.

Change: a response that names another request states nothing about this one; it ends as unknown, and the connection is closed. On a kept connection a refusal that names none isn't believed either. Where nothing was sent on the connection before, it can't be stale.

--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -288,8 +288,10 @@
         elapsed_s: float,
     ) -> ClientResponse | None:
         assessment = self._dialect.assess_response(exchange, context.request)
+        if context.progress.reused:
+            assessment = assessment.on_reused_connection()
         valid = assessment.valid
-        if valid or (assessment.matches_request and assessment.not_executed):
+        if valid or assessment.not_executed:
             context.state.record_limit(
                 upstream.upstream_id, assessment.rate_limit_per_s
             )
--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -425,8 +425,8 @@
             or "-",
             left=",".join(sorted(self._live_upstreams - live_upstreams))
             or "-",
-            gap_ms=round(self.listing.gap_s * 1000),
             origin=origin,
+            gap_ms=round(self.listing.gap_s * 1000),
         )
         self._live_upstreams = live_upstreams
         self.services.apply_listing(listed)
--- a/src/hawthornmast/gateway/upstreams.py
+++ b/src/hawthornmast/gateway/upstreams.py
@@ -18,24 +18,38 @@
     ----------
     matches_request
         The response belongs to the request.
+    names_request
+        The response states which request it belongs to.
     intact
         The response was produced by executing the request and, as far as its
         headers show, was not modified.
     not_executed
-        The upstream states that it did not execute the request.
+        The upstream states that it did not execute this request.
     misdirected
-        Another upstream uses the address now.
+        The response to this request is that another upstream uses the address
+        now.
     rate_limit_per_s
         Requests per second that the upstream takes from all members together,
         None if it states no limit.
     """
 
     matches_request: bool = True
+    names_request: bool = True
     intact: bool = True
     not_executed: bool = False
     misdirected: bool = False
     rate_limit_per_s: float | None = None
 
+    def on_reused_connection(self) -> "ResponseAssessment":
+        """Return the assessment of a response on a reused connection.
+
+        A refusal that names no request may be a late one of an earlier
+        request there, so that it proves nothing.
+        """
+        if self.names_request:
+            return self
+        return attrs.evolve(self, not_executed=False, misdirected=False)
+
     @property
     def valid(self) -> bool:
         """Whether the response answers the request."""
--- a/src/hawthornmast/platform/headers.py
+++ b/src/hawthornmast/platform/headers.py
@@ -80,17 +80,21 @@
 
         A response without the upstream's signature was not produced by its
         application. One with a content coding that was not requested was
-        altered on the way.
+        altered on the way. One that names another request, such as a refusal
+        that is sent twice on a kept connection, says nothing about this one.
         """
         attempt_id = exchange.header(names.ATTEMPT_ID)
-        misdirected = exchange.status == _MISDIRECTED_REQUEST
+        matches = attempt_id is None or attempt_id == (
+            request.request_id.encode("latin-1")
+        )
+        misdirected = matches and exchange.status == _MISDIRECTED_REQUEST
         return ResponseAssessment(
-            matches_request=attempt_id is None
-            or attempt_id == request.request_id.encode("latin-1"),
+            matches_request=matches,
+            names_request=attempt_id is not None,
             intact=exchange.header(names.SIGNATURE) is not None
             and exchange.header(b"content-encoding") is None,
             not_executed=misdirected
-            or exchange.header(names.NOT_EXECUTED) is not None,
+            or (matches and exchange.header(names.NOT_EXECUTED) is not None),
             misdirected=misdirected,
             rate_limit_per_s=_parse_rate(exchange.header(names.RATE_LIMIT)),
         )
--- a/src/hawthornmast/platform/tests/test_headers.py
+++ b/src/hawthornmast/platform/tests/test_headers.py
@@ -134,9 +134,17 @@
     @pytest.mark.parametrize(
         ("status", "headers", "assessment"),
         [
-            (200, {"response-signature": "3e1b"}, ResponseAssessment()),
-            (500, {"response-signature": "3e1b"}, ResponseAssessment()),
-            (200, {}, ResponseAssessment(intact=False)),
+            (
+                200,
+                {"response-signature": "3e1b"},
+                ResponseAssessment(names_request=False),
+            ),
+            (
+                500,
+                {"response-signature": "3e1b"},
+                ResponseAssessment(names_request=False),
+            ),
+            (200, {}, ResponseAssessment(intact=False, names_request=False)),
             (
                 200,
                 {"response-signature": "3e1b", "attempt-id": "9c41"},
@@ -150,13 +158,28 @@
             (
                 503,
                 {"not-executed": "1"},
+                ResponseAssessment(
+                    intact=False, names_request=False, not_executed=True
+                ),
+            ),
+            (
+                503,
+                {"not-executed": "1", "attempt-id": "9c41"},
                 ResponseAssessment(intact=False, not_executed=True),
             ),
+            (
+                503,
+                {"not-executed": "1", "attempt-id": "other"},
+                ResponseAssessment(intact=False, matches_request=False),
+            ),
             (
                 421,
                 {},
                 ResponseAssessment(
-                    intact=False, not_executed=True, misdirected=True
+                    intact=False,
+                    names_request=False,
+                    not_executed=True,
+                    misdirected=True,
                 ),
             ),
         ],
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -49,6 +49,13 @@
         or empty for none of these.
     endless_pause_s
         Seconds between two pieces of 1 KiB of an endless response.
+    stale_refusal
+        Run requests, but send a refusal of another request right away, as
+        not run.
+    stale_status
+        Status of this refusal.
+    stale_key
+        Key of the request that it names, empty for none.
     crossed
         Send the response of the previous request.
     two_lengths
@@ -88,6 +95,9 @@
     late_s: float = 0.0
     endless: str = ""
     endless_pause_s: float = 0.0
+    stale_refusal: bool = False
+    stale_status: int = 503
+    stale_key: str = "another"
     crossed: bool = False
     two_lengths: bool = False
     informational: bool = False
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -230,6 +230,19 @@
         self.executions.append(execution)
         if len(self.executions) > self._max_log:
             del self.executions[: self._max_log // 2]
+        if faults.stale_refusal:
+            stale = [self.not_run_header]
+            if faults.stale_key:
+                stale.append((self.key_header, faults.stale_key.encode()))
+            return await self._send(
+                stream,
+                connection,
+                request,
+                faults.stale_status,
+                stale,
+                b"busy",
+                faults,
+            )
         self.active_requests += 1
         try:
             in_time = await self._simulate_work(stream, execution)
