Play the synchronization's tests on the test clock

Cause: pytest-trio takes the clock only from the arguments of a test, not from those of its fixtures, so that ten tests slept in real time, 26 s in all, and their verdict depended on the machine.

Change: the tests name the clock themselves.

--- a/src/hawthornmast/gateway/tests/test_sources.py
+++ b/src/hawthornmast/gateway/tests/test_sources.py
@@ -63,13 +63,15 @@
 class TestReading:
     """The first member in rank polls the platform and announces its state."""
 
-    async def test_reads_both_and_announces(self, reader: Reader) -> None:
+    async def test_reads_both_and_announces(
+        self, autojump_clock: trio.testing.MockClock, reader: Reader
+    ) -> None:
         assert reader.versions == [1]
         assert set(reader.listing.entries) == {"u1"}
         assert reader.announced == 1
 
     async def test_change_is_in_force_within_1200_ms(
-        self, reader: Reader
+        self, autojump_clock: trio.testing.MockClock, reader: Reader
     ) -> None:
         reader.platform.configuration = make_configuration(4)
         reader.platform.snapshot = UpstreamSnapshot(
@@ -79,7 +81,9 @@
         assert reader.versions == [1, 4]
         assert set(reader.listing.entries) == {"u2"}
 
-    async def test_rate_of_calls(self, reader: Reader) -> None:
+    async def test_rate_of_calls(
+        self, autojump_clock: trio.testing.MockClock, reader: Reader
+    ) -> None:
         before = len(reader.platform.calls)
         await trio.sleep(10.0)
         # The platform charges for each call: about 2 reads of the list and
@@ -87,7 +91,7 @@
         assert 25 <= len(reader.platform.calls) - before <= 36
 
     async def test_older_configuration_is_ignored(
-        self, reader: Reader
+        self, autojump_clock: trio.testing.MockClock, reader: Reader
     ) -> None:
         reader.platform.configuration = make_configuration(4)
         await trio.sleep(1.2)
@@ -96,7 +100,10 @@
         assert reader.synchronizer.version == 4
 
     async def test_platform_outage_keeps_state_and_is_logged_once(
-        self, reader: Reader, caplog: pytest.LogCaptureFixture
+        self,
+        autojump_clock: trio.testing.MockClock,
+        reader: Reader,
+        caplog: pytest.LogCaptureFixture,
     ) -> None:
         caplog.set_level("INFO")
         reader.platform.down = True
@@ -155,7 +162,7 @@
     """Members exchange summaries and snapshots of their state."""
 
     async def test_confirmation_by_a_peer_replaces_reads(
-        self, reader: Reader
+        self, autojump_clock: trio.testing.MockClock, reader: Reader
     ) -> None:
         before = len(reader.platform.calls)
         peer = make_gossip(2).instance
@@ -172,7 +179,9 @@
                 await trio.sleep(0.1)
         assert len(reader.platform.calls) - before <= 1
 
-    async def test_snapshot_transfers_all_state(self, reader: Reader) -> None:
+    async def test_snapshot_transfers_all_state(
+        self, autojump_clock: trio.testing.MockClock, reader: Reader
+    ) -> None:
         other = Reader()
         other.synchronizer._apply_state_snapshot(
             reader.synchronizer.encode_state_snapshot(0),
@@ -182,13 +191,13 @@
         assert other.listing.entries == reader.listing.entries
 
     async def test_snapshot_leaves_out_a_known_version(
-        self, reader: Reader
+        self, autojump_clock: trio.testing.MockClock, reader: Reader
     ) -> None:
         whole = reader.synchronizer.encode_state_snapshot(0)
         assert len(reader.synchronizer.encode_state_snapshot(1)) < len(whole)
 
     async def test_large_configuration_fits_a_slow_link(
-        self, reader: Reader
+        self, autojump_clock: trio.testing.MockClock, reader: Reader
     ) -> None:
         # Uncompressed, 1,400 routes took 160 KB, and pulls timed out when a
         # small instance sent them to 15 members of its zone at once.
@@ -225,7 +234,10 @@
         ids=["empty", "invalid", "short", "numbers", "plain", "cut", "bomb"],
     )
     async def test_malformed_snapshot_changes_nothing(
-        self, reader: Reader, body: bytes
+        self,
+        autojump_clock: trio.testing.MockClock,
+        reader: Reader,
+        body: bytes,
     ) -> None:
         before = reader.listing.entries
         reader.synchronizer._apply_state_snapshot(
