Split the entries of the list of upstreams from the accepted list

Change: membership/entries.py has the former; imports follow. No behaviour changes.

Measured: the tests of membership, gateway and platform pass.

--- a/src/hawthornmast/gateway/services.py
+++ b/src/hawthornmast/gateway/services.py
@@ -26,7 +26,7 @@
 from hawthornmast.limits import FleetRetryBudget
 from hawthornmast.limits import SharedPool
 from hawthornmast.limits.shared import SILENCE_TIMEOUT_S
-from hawthornmast.membership.listing import ListedUpstream
+from hawthornmast.membership.entries import ListedUpstream
 from hawthornmast.routing import Configuration
 from hawthornmast.routing import Route
 
--- a/src/hawthornmast/gateway/sources.py
+++ b/src/hawthornmast/gateway/sources.py
@@ -39,9 +39,9 @@
 from hawthornmast.gateway.snapshots import fetch_snapshot
 from hawthornmast.gateway.snapshots import StateSnapshot
 from hawthornmast.gateway.snapshots import StateSummary
+from hawthornmast.membership.entries import UpstreamSnapshot
 from hawthornmast.membership.gossip import Gossip
 from hawthornmast.membership.listing import UpstreamListing
-from hawthornmast.membership.listing import UpstreamSnapshot
 from hawthornmast.routing import Configuration
 from hawthornmast.routing import encode_configuration
 
--- a/src/hawthornmast/gateway/tests/fleet.py
+++ b/src/hawthornmast/gateway/tests/fleet.py
@@ -19,7 +19,7 @@
 from hawthornmast.gateway.snapshots import PULL_TIMEOUT_S
 from hawthornmast.gateway.tests.support import make_configuration
 from hawthornmast.gateway.tests.support import make_listed_upstream
-from hawthornmast.membership.listing import UpstreamSnapshot
+from hawthornmast.membership.entries import UpstreamSnapshot
 from hawthornmast.membership.placement import zone_rank_key
 from hawthornmast.platform.headers import PlatformClientDialect
 from hawthornmast.platform.headers import PlatformUpstreamDialect
--- a/src/hawthornmast/gateway/tests/support.py
+++ b/src/hawthornmast/gateway/tests/support.py
@@ -13,9 +13,9 @@
 from hawthornmast.gateway.options import Bounds
 from hawthornmast.gateway.services import ServiceRegistry
 from hawthornmast.gateway.services import ServiceState
+from hawthornmast.membership.entries import ListedUpstream
+from hawthornmast.membership.entries import UpstreamSnapshot
 from hawthornmast.membership.gossip import Gossip
-from hawthornmast.membership.listing import ListedUpstream
-from hawthornmast.membership.listing import UpstreamSnapshot
 from hawthornmast.routing import Configuration
 from hawthornmast.routing import Route
 from hawthornmast.routing import ServiceOptions
--- a/src/hawthornmast/gateway/tests/test_sources.py
+++ b/src/hawthornmast/gateway/tests/test_sources.py
@@ -19,8 +19,8 @@
 from hawthornmast.gateway.tests.support import make_configuration
 from hawthornmast.gateway.tests.support import make_gossip
 from hawthornmast.gateway.tests.support import make_listed_upstream
+from hawthornmast.membership.entries import UpstreamSnapshot
 from hawthornmast.membership.listing import UpstreamListing
-from hawthornmast.membership.listing import UpstreamSnapshot
 
 MIN_LINK_BYTES_PER_S = 5e6 / 8
 DECOMPRESSION_BOMB = zlib.compress(bytes(MAX_CONFIGURATION_BYTES + 1))
--- a/src/hawthornmast/membership/tests/test_listing.py
+++ b/src/hawthornmast/membership/tests/test_listing.py
@@ -5,11 +5,11 @@
 
 from hawthornmast.common import State
 from hawthornmast.common import Upstream
-from hawthornmast.membership.listing import ListedUpstream
+from hawthornmast.membership.entries import ListedUpstream
+from hawthornmast.membership.entries import UpstreamSnapshot
 from hawthornmast.membership.listing import MAX_CONFIRMATION_GAP_S
 from hawthornmast.membership.listing import REGISTRATION_GRACE_S
 from hawthornmast.membership.listing import UpstreamListing
-from hawthornmast.membership.listing import UpstreamSnapshot
 from standins.clock import ManualClock
 
 
--- a/src/hawthornmast/platform/store.py
+++ b/src/hawthornmast/platform/store.py
@@ -12,8 +12,8 @@
 from hawthornmast import http
 from hawthornmast.audit import log_event
 from hawthornmast.common import StepError
-from hawthornmast.membership.listing import ListedUpstream
-from hawthornmast.membership.listing import UpstreamSnapshot
+from hawthornmast.membership.entries import ListedUpstream
+from hawthornmast.membership.entries import UpstreamSnapshot
 from hawthornmast.platform import names
 from hawthornmast.platform import values
 from hawthornmast.routing import Configuration
--- a/src/hawthornmast/platform/tests/test_values.py
+++ b/src/hawthornmast/platform/tests/test_values.py
@@ -9,7 +9,7 @@
 from hawthornmast.common import Rank
 from hawthornmast.common import State
 from hawthornmast.common import Upstream
-from hawthornmast.membership.listing import ListedUpstream
+from hawthornmast.membership.entries import ListedUpstream
 from hawthornmast.platform import values
 from hawthornmast.routing import Target
 from standins.deployment import make_configuration
--- a/src/hawthornmast/platform/values.py
+++ b/src/hawthornmast/platform/values.py
@@ -10,7 +10,7 @@
 from hawthornmast.common import Rank
 from hawthornmast.common import State
 from hawthornmast.common import Upstream
-from hawthornmast.membership.listing import ListedUpstream
+from hawthornmast.membership.entries import ListedUpstream
 from hawthornmast.routing import Configuration
 from hawthornmast.routing import RequestLimits
 from hawthornmast.routing import Route
