Split when a member reads from what it synchronizes

Reading the split showed that a list which was read was not announced when the configuration failed to come after it, and that a configuration, too, counted as confirmed when the answer came.

Change: gateway/reading.py decides when a member reads. A read is announced if it confirmed anything, and confirmed as of the question.

Measured: test_list_is_announced_though_the_configuration_fails failed before.

--- a/src/hawthornmast/gateway/sources.py
+++ b/src/hawthornmast/gateway/sources.py
@@ -1,15 +1,11 @@
 """Synchronization of the configuration and of the list of upstreams.
 
 The state of a member, in this module, is its configuration and its list of
-upstreams. Normally one member at a time reads them from the platform. Members
-are ranked (``Gossip.rank``): the representatives of the zones first, then the
-other members in the order of their zone. Each member reads only when its state
-was not confirmed for longer than its rank allows; one that took over from
-others goes on as the second in rank until it stops reading. A member that has
-read the platform announces a summary of its state to its zone and to the
-representatives of the other zones, which pass it on to their zones. Every
-member pulls state from a peer whose state is newer, as a snapshot with the
-list and, if needed, the configuration.
+upstreams. Normally one member at a time reads them from the platform
+(``reading``). A member that has read the platform announces a summary of its
+state to its zone and to the representatives of the other zones, which pass it
+on to their zones. Every member pulls state from a peer whose state is newer,
+as a snapshot with the list and, if needed, the configuration.
 
 The configuration is polled although the store of a platform may offer watches
 (streams of changes): a watch that has stalled can't be told from one without
@@ -19,7 +15,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import logging
-import math
 import random
 from typing import Any
 from typing import Protocol
@@ -35,6 +30,11 @@
 from hawthornmast.audit import log_failures
 from hawthornmast.common import Instance
 from hawthornmast.common import StepError
+from hawthornmast.gateway.reading import CONFIGURATION_INTERVAL_S
+from hawthornmast.gateway.reading import DueReads
+from hawthornmast.gateway.reading import LISTING_INTERVAL_S
+from hawthornmast.gateway.reading import MAX_READ_RANK
+from hawthornmast.gateway.reading import ReadSchedule
 from hawthornmast.gateway.snapshots import decode_snapshot
 from hawthornmast.gateway.snapshots import fetch_snapshot
 from hawthornmast.gateway.snapshots import StateSnapshot
@@ -47,39 +47,13 @@
 
 _LOG = logging.getLogger("hawthornmast.gateway.sources")
 
-LISTING_INTERVAL_S = 0.45
-"""Polling interval of the list of upstreams: a quarter of the time after which
-a leaving upstream must receive no new requests."""
-
-CONFIGURATION_INTERVAL_S = 0.8
-"""Polling interval of the configuration: less than half of the time within
-which a configuration must be in force on all members."""
-
-READ_RANK_DELAY_S = 0.15
-"""Additional delay before a read for each rank below the first."""
-
-ACTIVE_READER_S = 3.0
-"""Time after a successful read during which a member waits no longer than the
-second in rank. Members that rank above it and can't read then delay only the
-first read, not each."""
-
-MAX_READ_RANK = 5
-"""Lowest rank that delays distinguish; members below it wait no longer. From
-this rank on, members pull only from peers of their own zone."""
-
 STARTUP_CHECK_INTERVAL_S = 0.03
 """Interval of checks for due reads and pulls until the first configuration and
 list of upstreams are known; ``CHECK_INTERVAL_S`` afterwards."""
 
 CHECK_INTERVAL_S = 0.1
 
-STARTUP_DELAY_S = 0.05
-"""Delay before the first read of a starting member, in which peers may send
-their state. It is added once more for each rank, so that few members read the
-platform when all start at once."""
-
 READ_TIMEOUT_S = 1.2
-READ_BACKOFF_S = 0.4
 
 MIN_RELAY_ADVANCE_S = 0.1
 """Time by which a confirmation from another zone must be newer than the last
@@ -167,10 +141,9 @@
         self._announce = announce
         self._relay = relay
         self._random = random_source
-        self._started_at = trio.current_time()
-        self._next_read_at = 0.0
-        self._last_read_at = -math.inf
-        self._read_jitter = random_source.random()
+        self._schedule = ReadSchedule(
+            started_at=trio.current_time(), random_source=random_source
+        )
         self._reading = False
         # Never confirmed: the age exceeds all intervals.
         self._configuration_confirmed_at = -1e6
@@ -302,31 +275,25 @@
         now = trio.current_time()
         age = now - self._listing.confirmed_at
         configuration_age = now - self._configuration_confirmed_at
+        # The rank is costly, and matters only if a read may be due.
         if (
             age < LISTING_INTERVAL_S
             and configuration_age < CONFIGURATION_INTERVAL_S
         ):
             return
         read_rank = min(self._gossip.rank(), MAX_READ_RANK)
-        rank_delay = self._compute_rank_delay(read_rank, now)
-        listing_due = age >= LISTING_INTERVAL_S + rank_delay
-        configuration_due = (
-            configuration_age >= CONFIGURATION_INTERVAL_S + rank_delay
-        )
         uninitialized = self.uninitialized
-        if uninitialized and now - self._started_at < STARTUP_DELAY_S * (
-            1 + read_rank
-        ):
+        if uninitialized and self._schedule.is_starting(now, read_rank):
             return
-        if (
-            (listing_due or configuration_due)
-            and not self._reading
-            and now >= self._next_read_at
-        ):
+        due = self._schedule.find_due(
+            now,
+            read_rank,
+            listing_age_s=age,
+            configuration_age_s=configuration_age,
+        )
+        if due and not self._reading:
             self._reading = True
-            nursery.start_soon(
-                self._read, read_rank, listing_due, configuration_due
-            )
+            nursery.start_soon(self._read, read_rank, due)
         if (
             (uninitialized or max(age, configuration_age) > PULL_STALE_AGE_S)
             and now >= self._next_pull_at
@@ -344,36 +311,27 @@
                 self._pulling = True
                 nursery.start_soon(self._pull, self._random.choice(others))
 
-    def _compute_rank_delay(self, read_rank: int, now: float) -> float:
-        """Return how much later than the first in rank this member reads."""
-        if read_rank and now - self._last_read_at < ACTIVE_READER_S:
-            # The jitter leaves one of several active readers, the others
-            # have its confirmation before their time has come.
-            return READ_RANK_DELAY_S * (1.0 + self._read_jitter)
-        return READ_RANK_DELAY_S * read_rank
-
-    async def _read(
-        self, read_rank: int, listing_due: bool, configuration_due: bool
-    ) -> None:
+    async def _read(self, read_rank: int, due: DueReads) -> None:
+        before = self._confirmation_times()
         succeeded = False
         with log_failures("read-platform"):
-            succeeded = await self._read_due(listing_due, configuration_due)
+            succeeded = await self._read_due(due)
         self._reading = False
         if succeeded:
-            self._last_read_at = trio.current_time()
-            self._read_jitter = self._random.random()
-            self._announce()
+            self._schedule.record_success(trio.current_time())
         else:
-            self._next_read_at = trio.current_time() + READ_BACKOFF_S * (
-                1 + read_rank
-            )
+            self._schedule.record_failure(trio.current_time(), read_rank)
+        # One of the two may have been read although the other failed.
+        if self._confirmation_times() != before:
+            self._announce()
 
-    async def _read_due(
-        self, listing_due: bool, configuration_due: bool
-    ) -> bool:
-        if listing_due and not await self._read_listing():
+    def _confirmation_times(self) -> tuple[float, float]:
+        return self._listing.confirmed_at, self._configuration_confirmed_at
+
+    async def _read_due(self, due: DueReads) -> bool:
+        if due.listing and not await self._read_listing():
             return False
-        return not configuration_due or await self._read_configuration()
+        return not due.configuration or await self._read_configuration()
 
     async def _read_listing(self) -> bool:
         asked_at = trio.current_time()
@@ -385,6 +343,7 @@
         return True
 
     async def _read_configuration(self) -> bool:
+        asked_at = trio.current_time()
         result = await self._source.read_configuration(
             timeout_s=READ_TIMEOUT_S
         )
@@ -394,7 +353,7 @@
         if configuration is not None:
             self.accept(configuration, "platform")
             if configuration.version == self.version:
-                self._configuration_confirmed_at = trio.current_time()
+                self._configuration_confirmed_at = asked_at
         return True
 
     async def _pull(self, peer: Instance) -> None:
--- a/src/hawthornmast/gateway/tests/support.py
+++ b/src/hawthornmast/gateway/tests/support.py
@@ -95,6 +95,7 @@
             revision=5, entries=(make_listed_upstream("u1"),)
         )
         self.down = False
+        self.without_configuration = False
         self.delay_s = 0.0
         self.calls: list[str] = []
 
@@ -114,6 +115,8 @@
         """Return the configuration."""
         del timeout_s
         self.calls.append("configuration")
+        if self.without_configuration:
+            return Err(StepError(step="read", detail="no answer"))
         return self._answer(self.configuration)
 
     def _answer(self, value):
--- a/src/hawthornmast/gateway/tests/test_sources.py
+++ b/src/hawthornmast/gateway/tests/test_sources.py
@@ -115,6 +115,14 @@
         assert caplog.text.count("platform-lost") == 1
         assert caplog.text.count("platform-regained") == 1
 
+    async def test_list_is_announced_though_the_configuration_fails(
+        self, autojump_clock: trio.testing.MockClock, reader: Reader
+    ) -> None:
+        reader.platform.without_configuration = True
+        before = reader.announced
+        await trio.sleep(3.0)
+        assert reader.announced > before + 1
+
     async def test_slow_answer_does_not_hide_a_newer_list_of_a_peer(
         self, autojump_clock: trio.testing.MockClock, reader: Reader
     ) -> None:
