Describe errors in log lines in one place

Cause: the diff read again: the bounded description of an error stood twice, and the check of the limits hid in a folded condition.

Change: audit.describe_error serves both; the condition has two lines.

--- a/src/hawthornmast/audit/__init__.py
+++ b/src/hawthornmast/audit/__init__.py
@@ -6,6 +6,7 @@
 
 from hawthornmast.audit.bounded import BoundedHandler
 from hawthornmast.audit.bounded import open_bounded_log
+from hawthornmast.audit.failures import describe_error
 from hawthornmast.audit.failures import log_failures
 from hawthornmast.audit.logs import format_event
 from hawthornmast.audit.logs import log_event
@@ -18,6 +19,7 @@
     "AuditTrail",
     "BoundedHandler",
     "Record",
+    "describe_error",
     "format_event",
     "log_event",
     "log_failures",
--- a/src/hawthornmast/audit/failures.py
+++ b/src/hawthornmast/audit/failures.py
@@ -1,4 +1,4 @@
-"""Log unexpected errors of tasks that must go on."""
+"""Log lines of errors, and tasks that must go on after unexpected ones."""
 
 from collections.abc import Iterator
 import contextlib
@@ -33,11 +33,16 @@
             "task-failed",
             level=logging.ERROR,
             step=step,
-            detail=f"{type(error).__name__}: {error}"[:MAX_DETAIL_LENGTH],
+            detail=describe_error(error),
             at=_locate(error),
         )
 
 
+def describe_error(error: Exception) -> str:
+    """Return kind and message of an error, bounded for a log line."""
+    return f"{type(error).__name__}: {error}"[:MAX_DETAIL_LENGTH]
+
+
 def _locate(error: Exception) -> str:
     """Return module and line where the error was raised."""
     frame = error.__traceback__
--- a/src/hawthornmast/gateway/snapshots.py
+++ b/src/hawthornmast/gateway/snapshots.py
@@ -13,6 +13,7 @@
 from result import Result
 
 from hawthornmast import http
+from hawthornmast.audit import describe_error
 from hawthornmast.common import Instance
 from hawthornmast.common import StepError
 from hawthornmast.routing import Configuration
@@ -127,7 +128,7 @@
         zlib.error,
         msgpack.UnpackException,
     ) as error:
-        return Err(f"{type(error).__name__}: {error}")
+        return Err(describe_error(error))
 
 
 async def fetch_snapshot(
--- a/src/hawthornmast/gateway/sources.py
+++ b/src/hawthornmast/gateway/sources.py
@@ -26,6 +26,7 @@
 from result import Result
 import trio
 
+from hawthornmast.audit import describe_error
 from hawthornmast.audit import log_event
 from hawthornmast.audit import log_failures
 from hawthornmast.common import Instance
@@ -387,7 +388,7 @@
             try:
                 self._apply_peer_list(snapshot, peer)
             except (ValueError, TypeError, IndexError) as error:
-                detail = f"{type(error).__name__}: {error}"
+                detail = describe_error(error)
         if detail is not None:
             log_event(
                 _LOG,
--- a/src/hawthornmast/limits/dispatcher.py
+++ b/src/hawthornmast/limits/dispatcher.py
@@ -273,9 +273,8 @@
     ) -> Refusal | None:
         entry = queue.entry
         latest = waiter.deadline - self._compute_margin(waiter)
-        if now + self._estimate_wait(
-            queue, now
-        ) > latest or self._exceeds_limits(queue, waiter, latest - now):
+        is_late = now + self._estimate_wait(queue, now) > latest
+        if is_late or self._exceeds_limits(queue, waiter, latest - now):
             return self._refuse(
                 Reason.DEADLINE, f"deadline_ms={entry.deadline_ms}"
             )
--- a/src/hawthornmast/platform/store.py
+++ b/src/hawthornmast/platform/store.py
@@ -10,9 +10,11 @@
 import trio
 
 from hawthornmast import http
+from hawthornmast.audit import describe_error
 from hawthornmast.audit import log_event
 from hawthornmast.common import StepError
 from hawthornmast.membership.entries import ListedUpstream
+from hawthornmast.membership.entries import MAX_NAME_LENGTH
 from hawthornmast.membership.entries import UpstreamSnapshot
 from hawthornmast.platform import names
 from hawthornmast.platform import values
@@ -22,9 +24,6 @@
 
 MAX_PAGES = 200
 
-MAX_DETAIL_LENGTH = 300
-"""Characters of an error in a log line; the value may be of any length."""
-
 _DECODING_ERRORS = (
     ValueError,
     KeyError,
@@ -140,7 +139,7 @@
     def _malformed_response(
         self, path: str, error: Exception
     ) -> Err[StepError]:
-        detail = f"malformed response: {_describe(error)}"
+        detail = f"malformed response: {describe_error(error)}"
         return Err(
             StepError(
                 step=path.rpartition("/")[2],
@@ -170,12 +169,7 @@
                     _LOG,
                     "upstream-entry-refused",
                     level=logging.WARNING,
-                    upstream=key[:MAX_DETAIL_LENGTH],
+                    upstream=key[:MAX_NAME_LENGTH],
                     revision=revision,
-                    detail=_describe(error),
+                    detail=describe_error(error),
                 )
-
-
-def _describe(error: Exception) -> str:
-    """Return a bounded description of an error."""
-    return f"{type(error).__name__}: {error}"[:MAX_DETAIL_LENGTH]
