Let a failing reload or connection setup end neither process nor listener

Change: a reload logs an unexpected error and the settings in force stay; the connection is set up in its own task, whose errors are logged.

Measured: the tests of forwarding and of failing tasks pass; no test provokes either.

--- a/src/hawthornmast/forwarding/server.py
+++ b/src/hawthornmast/forwarding/server.py
@@ -245,7 +245,6 @@
                     pass
             sock.close()
             return
-        sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
         client_sock = socket.socket(fileno=sock.detach())
         client_sock.setblocking(False)
         nursery.start_soon(self._serve_client, client_sock, address)
@@ -256,6 +255,7 @@
         connection = ClientConnection(self, sock, f"{address[0]}:{address[1]}")
         self._connections.add(connection)
         try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await connection.serve()
         except Exception:
             # An error in one connection must not stop the others.
--- a/src/hawthornmast/platform/process.py
+++ b/src/hawthornmast/platform/process.py
@@ -10,6 +10,7 @@
 
 from hawthornmast import http
 from hawthornmast.audit import log_event
+from hawthornmast.audit import log_failures
 from hawthornmast.audit import open_bounded_log
 from hawthornmast.common import StepError
 from hawthornmast.gateway import GatewayMember
@@ -89,7 +90,8 @@
             async for signal_number in signals:
                 if signal_number == signal.SIGTERM:
                     break
-                _reload(member, path)
+                with log_failures("reload"):
+                    _reload(member, path)
             await member.drain()
         nursery.cancel_scope.cancel()
 
