Never cut a request that arrives as its connection's idle time ends

A connection that is idle for too long is ended by cancelling all of it; if the request arrives in the same round of the event loop, it is read and sent before the cancellation takes effect. Clients stay well below the limit, but a connection kept the limits of its acceptance: after the operators raise the idle time, clients reuse connections that the member ends by the old one.

Change: only the wait for a request is cancelled when a connection is idle for too long. Connections go by the limits in force; the idle time is the longer of that at the beginning of the wait and that in force.

--- a/src/hawthornmast/forwarding/connection.py
+++ b/src/hawthornmast/forwarding/connection.py
@@ -113,6 +113,8 @@
         # Setting a float is cheaper than changing the deadline of a scope.
         self.io_scope = trio.CancelScope()
         self.io_deadline = math.inf
+        self._idle_scope = trio.CancelScope()
+        self._idle_since = trio.current_time()
         self._step = ""
         self._buffered_bytes = 0
         self.request_scope = trio.CancelScope()
@@ -141,10 +143,30 @@
             self._count_body_bytes(-self._buffered_bytes)
             self.sock.close()
 
+    def cancel_overdue(self, now: float) -> None:
+        """End the connection if its client is idle or slow for too long.
+
+        Limits that were raised meanwhile apply to idle connections too, since
+        clients go by the new ones.
+        """
+        if not self.idle:
+            if now >= self.io_deadline:
+                self.io_scope.cancel()
+            return
+        idle_limit_s = self._server.limits.idle_s
+        if now >= max(self.io_deadline, self._idle_since + idle_limit_s):
+            self.cancel_idle()
+
+    def cancel_idle(self) -> None:
+        """End the connection unless a request has just arrived on it."""
+        self._idle_scope.cancel()
+
     async def _serve_request(self) -> bool:
         request: ClientRequest | None = None
         bad_input: BadInputError | None = None
-        self.io_deadline = trio.current_time() + self._limits.idle_s
+        self._limits = self._server.limits
+        self._idle_since = trio.current_time()
+        self.io_deadline = self._idle_since + self._limits.idle_s
         self.idle = not self._h11_connection.trailing_data[0]
         self._step = "header"
         try:
@@ -182,7 +204,12 @@
         if self.idle:
             # No data is buffered, and receiving first is cheaper than
             # asking h11 for an event.
-            await self._receive_head()
+            # The request must not be cancelled with the wait for it, so the
+            # wait has a scope of its own.
+            with trio.CancelScope() as self._idle_scope:
+                await self._receive_head()
+            if self._idle_scope.cancelled_caught:
+                return None
         while True:
             check_lines(connection.trailing_data[0], self._limits)
             event = connection.next_event()
--- a/src/hawthornmast/forwarding/server.py
+++ b/src/hawthornmast/forwarding/server.py
@@ -176,7 +176,7 @@
         pending = {fileno for fileno, _ in poller.poll(0)}
         for fileno, connection in idle.items():
             if fileno not in pending:
-                connection.io_scope.cancel()
+                connection.cancel_idle()
 
     async def finish(self, grace_s: float) -> None:
         """Accept for ``grace_s`` more seconds, then wait for all requests.
@@ -276,8 +276,7 @@
     def _poll_clients_once(self) -> None:
         now = trio.current_time()
         for connection in self._connections:
-            if connection.io_deadline <= now:
-                connection.io_scope.cancel()
+            connection.cancel_overdue(now)
         if not self._watched:
             return
         poller = select.poll()
