Tell whole zones at once that a daemon of another zone leaves

A leaving daemon told only the daemons it knew: its zone and the first three of each other zone. The rest of the other zones went on naming it to clients until its reports were 2.8 s old, and a lost notice had the same effect on a whole zone.

A leaving daemon now goes on telling the daemons of other zones that it knows, and the representative of each passes two of these heartbeats on to its zone. Three tests on the simulated network failed before; with ten daemons a zone all drop it at once, or within 1 s if the notice is lost.

--- a/src/hawthornmast/membership/gossip.py
+++ b/src/hawthornmast/membership/gossip.py
@@ -63,6 +63,10 @@
 """Minimum time between two redirects of the same daemon to the right
 representative; less than its heartbeat period."""
 
+MAX_LEAVE_REPORTS = 2
+"""Heartbeats of a leaving daemon of another zone that the representative
+passes on to its own zone; more than one, because datagrams may be lost."""
+
 MEMBER_EXPIRY_S = 60.0
 """Time without a heartbeat after which a lost daemon is dropped."""
 
@@ -234,6 +238,11 @@
                 HeartbeatDatagram(host=m.host, rows=top_rows)
                 for m in self.representatives()
             ]
+        elif self.instance.state is State.LEAVING:
+            heartbeats += [
+                HeartbeatDatagram(host=m.host, rows=own_rows)
+                for m in self.remote_peers()
+            ]
         if now >= self._next_seed_at:
             self._next_seed_at = now + SEED_RETRY_S
             self._expire_members()
@@ -291,6 +300,8 @@
         if name == self.instance.instance_id:
             return []
         self._members[name].heard_directly = True
+        if reports[0].instance.state is State.LEAVING:
+            return self._report_leave(self._members[name])
         if not was_in_contact:
             # A daemon that has started, or that was partitioned, gets the
             # members of the zone from the first daemon it contacts.
@@ -308,6 +319,25 @@
             return [HeartbeatDatagram(host=sender, rows=rows)]
         return []
 
+    def _report_leave(self, leaving: Member) -> list[HeartbeatDatagram]:
+        """Return reports to this zone that a daemon of another one leaves.
+
+        The leaving daemon knows only the highest-ranked daemons of this zone,
+        and clients may ask any for addresses.
+        """
+        if (
+            leaving.instance.zone == self.instance.zone
+            or leaving.leave_reports >= MAX_LEAVE_REPORTS
+            or not self.is_representative()
+        ):
+            return []
+        leaving.leave_reports += 1
+        rows = [self._own_row(), *self._encode_members([leaving.instance])]
+        return [
+            HeartbeatDatagram(host=item.host, rows=rows)
+            for item in self.zone_peers()
+        ]
+
     def _should_redirect(self, sender: Member, now: float) -> bool:
         """Return whether a sender of another zone needs a redirect.
 
@@ -350,6 +380,7 @@
         if incarnation > member.incarnation:
             member.incarnation = incarnation
             member.heard_directly = False
+            member.leave_reports = 0
             member.last_heard_at = heard_at
         elif heard_at < member.last_heard_at:
             return
--- a/src/hawthornmast/membership/heartbeats.py
+++ b/src/hawthornmast/membership/heartbeats.py
@@ -33,6 +33,9 @@
         Monotonic time of the last redirect: a reply to a daemon of another
         zone that took this daemon for the representative of its zone, which
         names the right one.
+    leave_reports
+        Number of times this daemon reported to its zone that the daemon is
+        leaving.
     """
 
     instance: Instance
@@ -41,6 +44,7 @@
     last_heard_at: float
     heard_directly: bool = False
     last_redirect_at: float = -math.inf
+    leave_reports: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/hawthornmast/membership/tests/test_gossip.py
+++ b/src/hawthornmast/membership/tests/test_gossip.py
@@ -286,6 +286,44 @@
         for other in others:
             assert host not in {item.host for item in other.live()}
 
+    def test_leaving_first_of_a_zone_is_dropped_by_all_zones(self) -> None:
+        # Guards against clients that are sent to a daemon that stops, by
+        # daemons of other zones that it doesn't know.
+        network = Network(zones=3, per_zone=10)
+        network.run(3.0)
+        host, gossip = min(
+            network.daemons.items(), key=lambda x: zone_rank_key(x[1].instance)
+        )
+        for heartbeat in gossip.leave():
+            network.deliver(host, heartbeat.host, heartbeat.rows)
+        for other in network.daemons.values():
+            assert host not in {item.host for item in other.live()}
+
+    def test_leaving_daemon_is_dropped_if_its_notice_is_lost(self) -> None:
+        network = Network(zones=3, per_zone=10)
+        network.run(3.0)
+        host, gossip = min(
+            network.daemons.items(), key=lambda x: zone_rank_key(x[1].instance)
+        )
+        gossip.leave()
+        network.run(1.0)
+        for other in network.daemons.values():
+            assert host not in {item.host for item in other.live()}
+
+    def test_leaving_daemons_are_reported_to_a_zone_a_few_times(self) -> None:
+        # Guards against a representative that is busy with reports while
+        # many daemons stop.
+        network = Network(zones=2, per_zone=4)
+        network.run(3.0)
+        host, gossip = min(
+            network.daemons.items(), key=lambda x: zone_rank_key(x[1].instance)
+        )
+        (representative,) = gossip.representatives()
+        other = network.daemons[representative.host]
+        rows = gossip.leave()[0].rows
+        counts = [len(other.receive(rows, host)) for _ in range(4)]
+        assert counts == [3, 3, 0, 0]
+
     def test_report_by_another_does_not_undo_leaving(self) -> None:
         network = Network(zones=1, per_zone=3)
         network.run(3.0)
