Take only requests that can end before a planned stop's kill

A member took requests for half of its grace time, whatever time they had left, and cut what still ran at 88% of it. Requests that came late, among them ones that must not be repeated, ran and ended with a closed connection.

Each request is now taken by its deadline or, if it may be repeated and clients still use cached addresses, by the usual latency of its route; others are rejected at once with 503.

Ruled out: rejecting all from SIGTERM on, which clients that don't return would pay for.

--- a/src/hawthornmast/forwarding/connection.py
+++ b/src/hawthornmast/forwarding/connection.py
@@ -57,6 +57,8 @@
     closing
         The server drains: each response asks the client to close the
         connection.
+    end_at
+        Monotonic time at which a draining server ends what is in flight.
     buffered_body_bytes
         Size of the request bodies that all connections hold in memory.
     """
@@ -64,6 +66,7 @@
     limits: ClientLimits
     dialect: Dialect
     closing: bool
+    end_at: float
     buffered_body_bytes: int
 
     @property
@@ -134,7 +137,11 @@
                     self._count_body_bytes(-self._buffered_bytes)
                     self._h11_connection.start_next_cycle()
             if self.io_scope.cancelled_caught and not self.idle and self._step:
-                bad_input = BadInputError(408, f"slow-{self._step}")
+                bad_input = (
+                    BadInputError(503, "closing")
+                    if trio.current_time() >= self._server.end_at
+                    else BadInputError(408, f"slow-{self._step}")
+                )
                 with trio.move_on_after(self._limits.write_s):
                     await self._refuse_input(bad_input, None)
         except (OSError, trio.ClosedResourceError):
@@ -150,13 +157,22 @@
         clients go by the new ones.
         """
         if not self.idle:
-            if now >= self.io_deadline:
+            is_reading = bool(self._step)
+            if now >= self.io_deadline or (
+                is_reading and now >= self._server.end_at
+            ):
                 self.io_scope.cancel()
             return
         idle_limit_s = self._server.limits.idle_s
         if now >= max(self.io_deadline, self._idle_since + idle_limit_s):
             self.cancel_idle()
 
+    def limit_request_time(self) -> None:
+        """End the request in flight by the end of a draining server."""
+        self.request_scope.deadline = min(
+            self.request_scope.deadline, self._server.end_at
+        )
+
     def cancel_idle(self) -> None:
         """End the connection unless a request has just arrived on it."""
         self._idle_scope.cancel()
@@ -312,7 +328,9 @@
         return self._is_reusable()
 
     def _open_scope(self, deadline: float) -> trio.CancelScope:
-        self.request_scope = trio.CancelScope(deadline=deadline)
+        self.request_scope = trio.CancelScope(
+            deadline=min(deadline, self._server.end_at)
+        )
         return self.request_scope
 
     def _is_reusable(self) -> bool:
--- a/src/hawthornmast/forwarding/server.py
+++ b/src/hawthornmast/forwarding/server.py
@@ -5,6 +5,7 @@
 import errno
 import itertools
 import logging
+import math
 import secrets
 import select
 import socket
@@ -65,7 +66,8 @@
     requests:
 
     - ``begin_drain`` sets ``closing``: the server still accepts connections,
-      but each response asks the client to close.
+      but each response asks the client to close. It also sets ``end_at``, at
+      which requests end that are still being read or processed.
     - ``finish`` drains for a grace period, stops accepting, waits for the
       requests in flight and calls ``close``.
     - ``close`` stops at once.
@@ -101,6 +103,7 @@
         self.forwarder = forwarder
         self.dialect = dialect
         self.closing = False
+        self.end_at = math.inf
         self.buffered_body_bytes = 0
         self._upstreams = upstreams
         self._host = host
@@ -156,14 +159,23 @@
         self._port = self._listeners[0].socket.getsockname()[1]
         nursery.start_soon(self._serve)
 
-    def begin_drain(self) -> None:
+    def begin_drain(self, *, end_at: float = math.inf) -> None:
         """Send ``Connection: close`` with each response from now on.
 
         New connections are still accepted, because clients cache this
         daemon's address. Idle ones stay open, because closing a connection
         while its client sends a request would lose that request.
+
+        Parameters
+        ----------
+        end_at
+            Monotonic time at which requests in flight are answered with a
+            timeout; by default they keep their deadlines.
         """
         self.closing = True
+        self.end_at = end_at
+        for connection in self._connections:
+            connection.limit_request_time()
 
     def _close_idle(self) -> None:
         poller = select.poll()
@@ -178,12 +190,14 @@
             if fileno not in pending:
                 connection.cancel_idle()
 
-    async def finish(self, grace_s: float) -> None:
+    async def finish(
+        self, grace_s: float, *, end_at: float = math.inf
+    ) -> None:
         """Accept for ``grace_s`` more seconds, then wait for all requests.
 
-        No request is aborted; each ends by its entry's deadline.
+        No request is aborted; each ends by its deadline or by ``end_at``.
         """
-        self.begin_drain()
+        self.begin_drain(end_at=end_at)
         await trio.sleep(grace_s)
         self._accept_scope.cancel()
         await self._accept_ended.wait()
--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -30,6 +30,7 @@
 from hawthornmast.gateway.attempts import RequestContext
 from hawthornmast.gateway.evidence import EvidenceExchange
 from hawthornmast.gateway.services import ServiceRegistry
+from hawthornmast.gateway.stopping import StopSchedule
 from hawthornmast.gateway.upstreams import UpstreamDialect
 from hawthornmast.routing import Configuration
 from hawthornmast.routing import Route
@@ -79,6 +80,11 @@
         upstream works.
     clock
         Monotonic time in seconds.
+
+    Attributes
+    ----------
+    stop
+        Schedule of the member's stop, None before it begins.
     """
 
     def __init__(
@@ -98,6 +104,7 @@
         self._recorder = EvidenceRecorder(evidence, clock=clock)
         self._clock = clock
         self._splits = SplitBalancer()
+        self.stop: StopSchedule | None = None
 
     def reset_traffic_splits(self) -> None:
         """Apply the weights of a new configuration to further requests."""
@@ -159,7 +166,11 @@
             deliver=deliver,
             deadline=request.received_at + timeout_s - RESPONSE_MARGIN_S,
         )
+        if not self._may_start(context):
+            return self._refuse_stopping(context)
         state.budget.count_request()
+        if self.stop is not None:
+            context.deadline = min(context.deadline, self.stop.end_at)
         answer: ClientResponse | None = None
         with open_scope(context.deadline):
             while answer is None:
@@ -207,6 +218,9 @@
                 refusal.reason.value, context.request, refusal.retry_after
             )
         admission = admitted.ok_value
+        if not context.attempted_ids and not self._may_start(context):
+            admission.release()
+            return self._refuse_stopping(context)
         upstream = admission.upstream
         failure_probability = context.state.pool.failure_probability(
             upstream.upstream_id
@@ -264,6 +278,24 @@
             )
             admission.release()
 
+    def _may_start(self, context: RequestContext) -> bool:
+        """Return whether a stop, if any, leaves time for a request."""
+        if self.stop is None:
+            return True
+        route = context.route
+        return self.stop.admits(
+            self._clock(),
+            received_at=context.request.received_at,
+            deadline=context.deadline,
+            idempotent=route.idempotent,
+            usual_latency_s=context.state.usual_latency_s(route.name),
+        )
+
+    def _refuse_stopping(self, context: RequestContext) -> ClientResponse:
+        """Return the refusal of a request that was never sent."""
+        context.trace.steps.append("refused:closing")
+        return self._refuse_unavailable("closing", context.request, None)
+
     def _build_request(
         self, context: RequestContext, upstream: Upstream
     ) -> UpstreamRequest:
--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -38,6 +38,7 @@
 from hawthornmast.gateway.snapshots import SNAPSHOT_PATH
 from hawthornmast.gateway.sources import PlatformSource
 from hawthornmast.gateway.sources import StateSynchronizer
+from hawthornmast.gateway.stopping import StopSchedule
 from hawthornmast.gateway.upstreams import UpstreamDialect
 from hawthornmast.membership.gossip import Gossip
 from hawthornmast.membership.heartbeats import HeartbeatDatagram
@@ -58,13 +59,6 @@
 """Timeout for connecting to an upstream. The kernel retransmits a lost SYN
 only after 1 s, whereas a new attempt sends one immediately."""
 
-DRAIN_ACCEPT_FRACTION = 0.5
-"""Fraction of the grace period after SIGTERM in which new connections are
-still accepted."""
-
-DRAIN_FINISH_FRACTION = 0.88
-"""Fraction of the grace period after which requests in flight are aborted."""
-
 MAX_BODY_BYTES = 16_777_216
 """Maximum size of a request body, even if the configuration allows more. A
 member must be able to hold several in memory."""
@@ -232,14 +226,23 @@
         )
 
     async def drain(self) -> None:
-        """Leave the fleet and finish running requests in the grace period."""
-        grace_s = self.options.bounds.grace_s
-        log_event(_LOG, "draining", grace_s=grace_s)
+        """Leave the fleet and finish running requests in the grace period.
+
+        What doesn't end before it is rejected or answered with a timeout.
+        """
+        bounds = self.options.bounds
+        log_event(_LOG, "draining", grace_s=bounds.grace_s)
+        stop = StopSchedule(
+            started_at=trio.current_time(),
+            grace_s=bounds.grace_s,
+            address_ttl_s=bounds.address_ttl_s,
+        )
         self.closing = True
+        self.forwarder.stop = stop
         self.gossip.ready = False
         self._send_heartbeats(self.gossip.leave())
-        with trio.move_on_after(DRAIN_FINISH_FRACTION * grace_s) as scope:
-            await self.server.finish(DRAIN_ACCEPT_FRACTION * grace_s)
+        with trio.move_on_at(stop.exit_at) as scope:
+            await self.server.finish(stop.accept_s, end_at=stop.end_at)
         log_event(_LOG, "stopped", in_time=not scope.cancelled_caught)
 
     def reload(self, options: GatewayOptions) -> None:
--- a/src/hawthornmast/gateway/services.py
+++ b/src/hawthornmast/gateway/services.py
@@ -5,6 +5,7 @@
 services have no owner.
 """
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterator
 import logging
@@ -56,6 +57,12 @@
 requests, in mean latencies of the slowest route. ``SILENCE_TIMEOUT_S`` is the
 minimum."""
 
+LATENCY_SAMPLES = 128
+"""Number of the newest latencies of a route from which quantiles are taken."""
+
+USUAL_LATENCY_QUANTILE = 0.95
+"""Quantile of a route's latencies that few of its requests exceed."""
+
 LATENCY_EWMA_WEIGHT = 0.05
 """Weight of the newest sample in the moving average of a route's latency."""
 
@@ -121,6 +128,7 @@
             name, floor_share=bounds.floor_share, clock=trio.current_time
         )
         self._mean_latency_s: dict[str, float] = {}
+        self._latencies_s: dict[str, collections.deque[float]] = {}
         self.dispatcher = Dispatcher(
             Service(
                 name=name,
@@ -146,12 +154,25 @@
         """
         return self._mean_latency_s.get(route, math.inf)
 
+    def usual_latency_s(self, route: str) -> float:
+        """Return the latency that few successful responses of a route exceed.
+
+        It is infinite before the first one.
+        """
+        latencies_s = sorted(self._latencies_s.get(route, ()))
+        if not latencies_s:
+            return math.inf
+        return latencies_s[int(USUAL_LATENCY_QUANTILE * len(latencies_s))]
+
     def record_latency(self, route: str, latency_s: float) -> None:
-        """Update the mean latency of a route with a successful response.
+        """Update the latencies of a route with a successful response.
 
         Failures don't count: if they lowered the mean to milliseconds, an
         upstream that executes long requests would exceed the silence timeout.
         """
+        self._latencies_s.setdefault(
+            route, collections.deque(maxlen=LATENCY_SAMPLES)
+        ).append(latency_s)
         mean_s = self._mean_latency_s.get(route, latency_s)
         self._mean_latency_s[route] = mean_s + LATENCY_EWMA_WEIGHT * (
             latency_s - mean_s
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -45,6 +45,7 @@
     zone: str,
     store_port: int,
     seeds: str,
+    grace_s: float = 2.0,
 ) -> None:
     """Write the settings file of one member, a daemon run by the adapter.
 
@@ -56,7 +57,7 @@
         f"Listen.Ready={host}:{READY_PORT}\n"
         f"Listen.Directory={host}:{DIRECTORY_PORT}\n"
         f"InternalPorts={PEER_PORT},{PEER_PORT + 15}\nSeeds={seeds}\n"
-        "Limits.MaxFds=4100\nBounds.Grace=2s\n"
+        f"Limits.MaxFds=4100\nBounds.Grace={grace_s}s\n"
         "Bounds.RetryBudgetRatio=0.2\nBounds.BudgetSlack=62\n"
         f"Platform.Address=127.0.0.1:{store_port}\n",
         encoding="utf-8",
