--- a/src/hawthornmast/administration/metrics.py
+++ b/src/hawthornmast/administration/metrics.py
@@ -72,6 +72,7 @@
     BODIES_TOO_LONG = "bodies-too-long"
     BODY_TOO_LONG = "body-too-long"
     CHUNKED_IN_1_0 = "chunked-in-1.0"
+    CLOSING = "closing"
     CONNECT = "connect"
     CONNECTIONS = "connections"
     CUT_BODY = "cut-body"
