Go by what upstreams state of themselves in their responses

Members read neither Server-Leaving nor the Retry-After of a 503, so that an upstream which leaves, or wants a pause, went on getting requests as long as the published list called it ready.

One type, UpstreamStatement, is decoded in platform/ and now also holds the stated limit; StatementRegistry keeps what each process of an upstream stated, outside the services; the pool reads it wherever it selects. A limit of another instance at the address no longer counts.

The tests of the stated limits go through record_statement in place of record_limit, with the same assertions.

--- a/src/hawthornmast/common/instances.py
+++ b/src/hawthornmast/common/instances.py
@@ -72,6 +72,9 @@
         Maximum of concurrent connections.
     state
         Published state.
+    started_ms
+        Start time of its process in milliseconds since the epoch, 0 when
+        unknown; distinguishes processes that reuse an identifier.
     """
 
     upstream_id: str
@@ -81,6 +84,7 @@
     slots: int
     connections: int = 400
     state: State = State.LIVE
+    started_ms: int = 0
 
     @property
     def address(self) -> str:
--- a/src/hawthornmast/gateway/datagrams.py
+++ b/src/hawthornmast/gateway/datagrams.py
@@ -1,4 +1,4 @@
-"""UDP messages between members: heartbeats and evidence."""
+"""UDP messages between members: heartbeats, evidence, leaving upstreams."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -27,6 +27,7 @@
 
     HEARTBEAT = 1
     EVIDENCE = 2
+    LEAVING_UPSTREAM = 3
 
 
 class DatagramTransport:
--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -323,15 +323,17 @@
         if context.progress.reused:
             assessment = assessment.on_reused_connection()
         valid = assessment.valid
-        if valid or assessment.not_executed:
-            context.state.record_limit(
-                upstream.upstream_id, assessment.rate_limit_per_s
-            )
+        if assessment.states_itself:
+            context.state.record_statement(upstream, assessment.statement)
         try:
             if assessment.misdirected:
                 context.state.pool.mark_moved(upstream.upstream_id)
             if assessment.not_executed:
-                return self._handle_rejection(context, upstream)
+                return self._handle_rejection(
+                    context,
+                    upstream,
+                    hold_off_s=assessment.statement.hold_off_s,
+                )
             if not valid:
                 self._recorder.record_failure(context, upstream)
                 return self._handle_failure(
@@ -381,7 +383,11 @@
             answer.outcome = Outcome.UNKNOWN
 
     def _handle_rejection(
-        self, context: RequestContext, upstream: Upstream
+        self,
+        context: RequestContext,
+        upstream: Upstream,
+        *,
+        hold_off_s: float | None,
     ) -> ClientResponse | None:
         """Retry a request that its upstream stated it did not run.
 
@@ -393,7 +399,7 @@
         """
         if context.last_answer is None:
             context.last_answer = self._refuse_unavailable(
-                "rejected", context.request, None
+                "rejected", context.request, hold_off_s
             )
         context.excluded_ids.add(upstream.upstream_id)
         if not context.state.budget.take():
--- a/src/hawthornmast/gateway/gauges.py
+++ b/src/hawthornmast/gateway/gauges.py
@@ -25,6 +25,22 @@
 }
 """Field of ``Coverage`` and documentation of each gauge by service."""
 
+_STATEMENT_GAUGES = {
+    "hawthornmast_held_off_upstreams": (
+        "held_off",
+        "Upstreams that take no requests from this member for a time.",
+    ),
+    "hawthornmast_leaving_upstreams": (
+        "leaving",
+        "Upstreams that stated in a response that they leave.",
+    ),
+    "hawthornmast_limited_upstreams": (
+        "limited",
+        "Upstreams that state how many requests per second they take.",
+    ),
+}
+"""Key of ``SharedPool.count_stated`` and documentation of each gauge."""
+
 
 def register_gauges(
     metrics: GatewayMetrics,
@@ -64,6 +80,21 @@
             documentation,
             functools.partial(_read_coverage, services, field),
         )
+    for name, (key, documentation) in _STATEMENT_GAUGES.items():
+        metrics.register_service_gauge(
+            name,
+            documentation,
+            functools.partial(_read_statements, services, key),
+        )
+
+
+def _read_statements(
+    services: ServiceRegistry, key: str
+) -> Mapping[str, float]:
+    """Return one count of the statements of each service."""
+    return {
+        state.name: float(state.pool.count_stated()[key]) for state in services
+    }
 
 
 def _read_coverage(
--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -15,6 +15,7 @@
 from hawthornmast.audit import log_failures
 from hawthornmast.common import Instance
 from hawthornmast.common import State
+from hawthornmast.common import Upstream
 from hawthornmast.forwarding import ClientLimits
 from hawthornmast.forwarding import Dialect
 from hawthornmast.forwarding import UpstreamClient
@@ -40,6 +41,7 @@
 from hawthornmast.gateway.sources import StateSynchronizer
 from hawthornmast.gateway.stopping import StopSchedule
 from hawthornmast.gateway.upstreams import UpstreamDialect
+from hawthornmast.limits import StatementRegistry
 from hawthornmast.membership.gossip import Gossip
 from hawthornmast.membership.heartbeats import HeartbeatDatagram
 from hawthornmast.membership.listing import UpstreamListing
@@ -368,6 +370,9 @@
         if kind is MessageKind.EVIDENCE:
             self.evidence.receive(payload, sender)
             return
+        if kind is MessageKind.LEAVING_UPSTREAM:
+            self._receive_leaving(payload, sender)
+            return
         rows, summary = payload
         if rows:
             self._send_heartbeats(self.gossip.receive(rows, sender))
@@ -382,12 +387,57 @@
         hosts = [i.host for i in self._advertised if i.instance_id != own_id]
         self.datagrams.send(hosts, MessageKind.EVIDENCE, report)
 
-    def _make_service(self, name: str) -> ServiceState:
+    def _announce_leaving(self, upstream: Upstream) -> None:
+        """Tell the zone and the other representatives of a leaving upstream.
+
+        Earlier versions refuse this message and go by the published list.
+        """
+        self._send_leaving(
+            upstream.upstream_id,
+            upstream.started_ms,
+            self.gossip.zone_peers() + self.gossip.representatives(),
+        )
+
+    def _receive_leaving(self, payload: Any, sender: str) -> None:
+        """Apply a peer's notice; pass it on if it is from another zone.
+
+        Raises ValueError or TypeError for a malformed notice.
+        """
+        upstream_id, started_ms = payload
+        started_ms = int(started_ms)
+        is_new = [
+            state.record_leaving(upstream_id, started_ms, sender)
+            for state in self.services
+        ]
+        peer = self.gossip.find(sender)
+        if (
+            any(is_new)
+            and peer is not None
+            and peer.zone != self.options.instance.zone
+        ):
+            self._send_leaving(
+                upstream_id, started_ms, self.gossip.zone_peers()
+            )
+
+    def _send_leaving(
+        self, upstream_id: str, started_ms: int, recipients: list[Instance]
+    ) -> None:
+        self.datagrams.send(
+            [item.host for item in recipients],
+            MessageKind.LEAVING_UPSTREAM,
+            [upstream_id, started_ms],
+        )
+
+    def _make_service(
+        self, name: str, statements: StatementRegistry
+    ) -> ServiceState:
         return ServiceState(
             name,
             bounds=self.options.bounds,
             zone=self.options.instance.zone,
             random_source=self._random,
+            statements=statements,
+            on_leaving=self._announce_leaving,
         )
 
     def _apply_configuration(
--- a/src/hawthornmast/gateway/services.py
+++ b/src/hawthornmast/gateway/services.py
@@ -26,6 +26,8 @@
 from hawthornmast.limits import Dispatcher
 from hawthornmast.limits import FleetRetryBudget
 from hawthornmast.limits import SharedPool
+from hawthornmast.limits import StatementRegistry
+from hawthornmast.limits import UpstreamStatement
 from hawthornmast.limits.shared import SILENCE_TIMEOUT_S
 from hawthornmast.membership.entries import ListedUpstream
 from hawthornmast.routing import Configuration
@@ -94,6 +96,10 @@
         Zone of this member.
     random_source
         Random generator for jitter and for ties between upstreams.
+    statements
+        What upstreams stated of themselves, also before this state existed.
+    on_leaving
+        Called when an upstream first states that it leaves.
     """
 
     def __init__(
@@ -103,8 +109,11 @@
         bounds: Bounds,
         zone: str,
         random_source: random.Random,
+        statements: StatementRegistry | None = None,
+        on_leaving: Callable[[Upstream], None] | None = None,
     ) -> None:
         self.name = name
+        self._on_leaving = on_leaving
         self.budget = FleetRetryBudget(
             ratio=bounds.retry_ratio,
             slack=bounds.retry_slack
@@ -122,6 +131,7 @@
             may_send_trial=lambda: (
                 self.budget.remaining_fraction() >= MIN_TRIAL_BUDGET_FRACTION
             ),
+            statements=statements,
             on_change=self._log_upstream_change,
         )
         self._coverage_log = CoverageLog(
@@ -199,23 +209,61 @@
             seen_by=peer or "self",
         )
 
-    def record_limit(self, upstream_id: str, rate_per_s: float | None) -> None:
-        """Apply the rate that an upstream stated in a response.
+    def record_statement(
+        self, upstream: Upstream, statement: UpstreamStatement
+    ) -> None:
+        """Apply what an upstream stated of itself in a response.
 
         Parameters
         ----------
-        rate_per_s
-            Requests per second from all members together, None for no limit.
+        upstream
+            The upstream as it was listed when the request was sent.
+        statement
+            What the response states.
         """
-        if self.pool.record_limit(upstream_id, rate_per_s):
-            log_event(
-                _LOG,
-                "upstream-limit",
-                service=self.name,
-                upstream=upstream_id,
-                limit="-" if rate_per_s is None else rate_per_s,
-                share=round(self.pool.rate_share, 4),
-            )
+        if not self.pool.record_statement(upstream, statement):
+            return
+        self._log_statement(upstream, statement, peer="")
+        if statement.leaving and self._on_leaving is not None:
+            self._on_leaving(upstream)
+
+    def record_leaving(
+        self, upstream_id: str, started_ms: int, peer: str
+    ) -> bool:
+        """Apply what a peer learned from an upstream that leaves.
+
+        Return whether it is new.
+        """
+        if not self.pool.record_leaving(upstream_id, started_ms):
+            return False
+        self._log_statement(
+            self.pool.members[upstream_id].upstream,
+            UpstreamStatement(leaving=True),
+            peer=peer,
+        )
+        return True
+
+    def _log_statement(
+        self, upstream: Upstream, statement: UpstreamStatement, *, peer: str
+    ) -> None:
+        stated = self.pool.members[upstream.upstream_id].stated
+        log_event(
+            _LOG,
+            "upstream-statement",
+            service=self.name,
+            upstream=upstream.upstream_id,
+            started_ms=upstream.started_ms,
+            leaving=statement.leaving,
+            hold_off_s=round(stated.hold_off_s(trio.current_time()), 3),
+            limit=(
+                "-"
+                if statement.rate_limit_per_s is None
+                else statement.rate_limit_per_s
+            ),
+            share=round(self.pool.rate_share, 4),
+            malformed=statement.malformed or "-",
+            seen_by=peer or "self",
+        )
 
     def tick(
         self, *, slack: float, rate_share: float, is_advertised: bool
@@ -265,11 +313,21 @@
     Parameters
     ----------
     make_state
-        Returns the initial state of a new service.
+        Returns the initial state of a new service, given its name and the
+        statements of all upstreams.
+
+    Attributes
+    ----------
+    statements
+        What upstreams stated of themselves. They outlast the states of their
+        services, which end with a configuration that drops the service.
     """
 
-    def __init__(self, make_state: Callable[[str], ServiceState]) -> None:
+    def __init__(
+        self, make_state: Callable[[str, StatementRegistry], ServiceState]
+    ) -> None:
         self._make_state = make_state
+        self.statements = StatementRegistry()
         self._states: dict[str, ServiceState] = {}
         self._entries: dict[str, Entry] = {}
         self._listed: dict[str, ListedUpstream] = {}
@@ -305,7 +363,8 @@
         for name, entries in entries_by_service.items():
             state = self._states.get(name)
             if state is None:
-                state = self._states[name] = self._make_state(name)
+                state = self._make_state(name, self.statements)
+                self._states[name] = state
                 self._update_upstreams(state)
             state.update_entries(tuple(entries), configuration.version)
         for name in self._states.keys() - entries_by_service.keys():
@@ -316,6 +375,7 @@
     def apply_listing(self, listed: dict[str, ListedUpstream]) -> None:
         """Apply a new list of upstreams."""
         self._listed = listed
+        self.statements.discard_unlisted(listed)
         for state in self._states.values():
             self._update_upstreams(state)
 
--- a/src/hawthornmast/gateway/tests/support.py
+++ b/src/hawthornmast/gateway/tests/support.py
@@ -57,11 +57,12 @@
 def make_services(*entries: ListedUpstream) -> ServiceRegistry:
     """Return services with the test configuration and upstreams."""
     services = ServiceRegistry(
-        lambda name: ServiceState(
+        lambda name, statements: ServiceState(
             name,
             bounds=Bounds(retry_ratio=0.2, retry_slack=16.0),
             zone="a",
             random_source=random.Random(1),
+            statements=statements,
         )
     )
     services.apply_configuration(make_configuration())
--- a/src/hawthornmast/gateway/upstreams.py
+++ b/src/hawthornmast/gateway/upstreams.py
@@ -8,6 +8,7 @@
 from hawthornmast.forwarding.exchange import Exchange
 from hawthornmast.forwarding.headers import RawHeaders
 from hawthornmast.forwarding.messages import ClientRequest
+from hawthornmast.limits import UpstreamStatement
 
 
 @attrs.frozen(kw_only=True)
@@ -28,9 +29,8 @@
     misdirected
         The response to this request is that another upstream uses the address
         now.
-    rate_limit_per_s
-        Requests per second that the upstream takes from all members together,
-        None if it states no limit.
+    statement
+        What the upstream states of itself.
     """
 
     matches_request: bool = True
@@ -38,7 +38,7 @@
     intact: bool = True
     not_executed: bool = False
     misdirected: bool = False
-    rate_limit_per_s: float | None = None
+    statement: UpstreamStatement = attrs.field(factory=UpstreamStatement)
 
     def on_reused_connection(self) -> "ResponseAssessment":
         """Return the assessment of a response on a reused connection.
@@ -50,6 +50,15 @@
             return self
         return attrs.evolve(self, not_executed=False, misdirected=False)
 
+    @property
+    def states_itself(self) -> bool:
+        """Whether the response comes from the upstream of the request.
+
+        Another instance at its address, or a response to another request,
+        says nothing about it.
+        """
+        return not self.misdirected and (self.valid or self.not_executed)
+
     @property
     def valid(self) -> bool:
         """Whether the response answers the request."""
--- a/src/hawthornmast/limits/__init__.py
+++ b/src/hawthornmast/limits/__init__.py
@@ -12,6 +12,8 @@
 from hawthornmast.limits.messages import SlotGrant
 from hawthornmast.limits.pool import UpstreamPool
 from hawthornmast.limits.shared import SharedPool
+from hawthornmast.limits.statements import StatementRegistry
+from hawthornmast.limits.statements import UpstreamStatement
 from hawthornmast.limits.window import FleetRetryBudget
 
 __all__ = [
@@ -25,7 +27,9 @@
     "SlotAllocator",
     "SlotDemand",
     "SlotGrant",
+    "StatementRegistry",
     "UpstreamPool",
+    "UpstreamStatement",
     "FleetRetryBudget",
     "divide_statically",
 ]
--- a/src/hawthornmast/limits/dispatcher.py
+++ b/src/hawthornmast/limits/dispatcher.py
@@ -27,6 +27,9 @@
 _MIN_RETRY_AFTER_S = 0.25
 """Minimum delay advised to a refused client before a retry."""
 
+_MAX_RETRY_AFTER_S = 60.0
+"""Maximum delay advised because upstreams take no requests for a time."""
+
 _MARGIN_SERVICE_TIMES = 3.0
 """Time that must remain until the deadline when a request starts, as a
 multiple of the mean service time.
@@ -273,10 +276,14 @@
     ) -> Refusal | None:
         entry = queue.entry
         latest = waiter.deadline - self._compute_margin(waiter)
-        is_late = now + self._estimate_wait(queue, now) > latest
-        if is_late or self._exceeds_limits(queue, waiter, latest - now):
+        text = f"deadline_ms={entry.deadline_ms}"
+        if now + self._estimate_wait(queue, now) > latest:
+            return self._refuse(Reason.DEADLINE, text)
+        if self._exceeds_limits(queue, waiter, latest - now):
             return self._refuse(
-                Reason.DEADLINE, f"deadline_ms={entry.deadline_ms}"
+                Reason.DEADLINE,
+                text,
+                wait_s=self._pool.next_allowed_s(waiter.exclude),
             )
         if len(queue.waiting) >= entry.queue_limit:
             return self._refuse(
@@ -470,10 +477,24 @@
         else:
             self._mean_service_time = seconds
 
-    def _refuse(self, reason: Reason, limit: str = "") -> Refusal:
-        backlog = 0.0
+    def _refuse(
+        self, reason: Reason, limit: str = "", *, wait_s: float = 0.0
+    ) -> Refusal:
+        """Return a refusal.
+
+        Parameters
+        ----------
+        reason, limit
+            Why the request is refused, and by which limit.
+        wait_s
+            Seconds until upstreams take requests again, infinite if unknown.
+        """
+        backlog = min(wait_s, _MAX_RETRY_AFTER_S)
         if self._slots:
-            backlog = self._waiting * self._mean_service_time / self._slots
+            backlog = max(
+                backlog,
+                self._waiting * self._mean_service_time / self._slots,
+            )
         base = max(_MIN_RETRY_AFTER_S, backlog)
         return Refusal(
             reason=reason,
--- a/src/hawthornmast/limits/pool.py
+++ b/src/hawthornmast/limits/pool.py
@@ -186,6 +186,11 @@
         del seconds, exclude
         return math.inf
 
+    def next_allowed_s(self, exclude: Container[str] = ()) -> float:
+        """Return 0: these upstreams state no limits."""
+        del exclude
+        return 0.0
+
     def has_candidate(self, exclude: Container[str] = ()) -> bool:
         """Return whether any upstream is eligible, even with no free slot."""
         return any(
--- a/src/hawthornmast/limits/pooled.py
+++ b/src/hawthornmast/limits/pooled.py
@@ -9,6 +9,7 @@
 from hawthornmast.health.belief import Belief
 from hawthornmast.limits.coverage import RECOVERY_S
 from hawthornmast.limits.rate import StatedLimit
+from hawthornmast.limits.statements import StatedState
 
 INITIAL_BACKOFF_S = 1.5
 """Backoff after a failed connection; doubles with each further failure up to
@@ -39,8 +40,8 @@
     # Whether the probability of failure exceeds MAX_FAILURE_PROBABILITY.
     # Unlike ``Standing.avoided``, this is only reported by ``on_change``.
     avoided: bool = False
-    # Rate that the upstream takes, None if it states none.
-    limit: StatedLimit | None = None
+    # What its process stated of itself.
+    stated: StatedState = attrs.field(factory=StatedState)
     # Slots in use by each peer, with the time of the report.
     peer_use: dict[str, tuple[int, float]] = attrs.field(factory=dict)
 
@@ -57,6 +58,7 @@
         return (
             self.listed
             and not self.moved
+            and self.stated.left_at is None
             and self.upstream.state is State.LIVE
         )
 
@@ -64,47 +66,41 @@
         """Return whether the floor counts the upstream as healthy."""
         return (
             now - self.belief.last_failure_at > RECOVERY_S
+            and now >= self.stated.held_until
             and self.is_candidate()
         )
 
-    def record_limit(
-        self, rate_per_s: float | None, now: float, *, share: float
-    ) -> bool:
-        """Record the limit that a response stated, None for none.
-
-        Returns whether it differs from the one before.
-        """
-        if rate_per_s is None:
-            had_limit = self.limit is not None
-            self.limit = None
-            return had_limit
-        if self.limit is None:
-            self.limit = StatedLimit(rate_per_s=rate_per_s, stated_at=now)
-            return True
-        changed = self.limit.rate_per_s != rate_per_s
-        self.limit.restate(rate_per_s, now, share=share)
-        return changed
-
-    def limit_wait_s(self, now: float, *, share: float) -> float:
-        """Return the seconds until its limit allows a request."""
-        if self.limit is not None and self.limit.is_expired(now):
-            self.limit = None
-        if self.limit is None:
-            return 0.0
-        return self.limit.wait_s(now, share=share)
+    def statement_wait_s(self, now: float, *, share: float) -> float:
+        """Return the seconds until its statements allow a request."""
+        hold_off_s = self.stated.hold_off_s(now)
+        limit = self._get_limit(now)
+        if limit is None:
+            return hold_off_s
+        return max(hold_off_s, limit.wait_s(now, share=share))
 
     def count_allowed(
         self, now: float, seconds: float, *, share: float
     ) -> float:
-        """Return how many requests its limit allows within a time."""
-        if self.limit is None or self.limit.is_expired(now):
+        """Return how many requests its statements allow within a time."""
+        hold_off_s = self.stated.hold_off_s(now)
+        if hold_off_s and hold_off_s >= seconds:
+            return 0
+        limit = self._get_limit(now)
+        if limit is None:
             return math.inf
-        return self.limit.count_allowed(now, seconds, share=share)
+        return limit.count_allowed(now, seconds, share=share)
+
+    def _get_limit(self, now: float) -> StatedLimit | None:
+        """Return its limit unless it was not stated for too long."""
+        limit = self.stated.limit
+        if limit is not None and limit.is_expired(now):
+            limit = self.stated.limit = None
+        return limit
 
     def record_request(self, now: float) -> None:
         """Take a slot for a request of this daemon."""
-        if self.limit is not None:
-            self.limit.spend()
+        if self.stated.limit is not None:
+            self.stated.limit.spend()
         if not self.in_use:
             self.waiting_since = now
         self.in_use += 1
--- a/src/hawthornmast/limits/shared.py
+++ b/src/hawthornmast/limits/shared.py
@@ -24,6 +24,8 @@
 from hawthornmast.limits.coverage import CoverageAllowance
 from hawthornmast.limits.coverage import OutcomeWindow
 from hawthornmast.limits.pooled import PooledUpstream
+from hawthornmast.limits.statements import StatementRegistry
+from hawthornmast.limits.statements import UpstreamStatement
 
 UTILIZATION_COST = 0.03
 """Cost of a fully used upstream over an idle one, in the same unit as the
@@ -107,6 +109,9 @@
     may_send_trial
         Returns whether the retry budget has room for trial requests, which
         are likely to need a second attempt.
+    statements
+        What upstreams stated of themselves; by default a registry of this
+        pool alone.
     on_change
         Called when an upstream changes, with the kind of change
         (``avoided``, ``trusted``, ``unreachable`` or ``moved``), the upstream
@@ -128,6 +133,7 @@
         zone: str = "",
         floor_share: float = 0.7,
         may_send_trial: Callable[[], bool] = lambda: True,
+        statements: StatementRegistry | None = None,
         on_change: Callable[[str, str, float, str], None] | None = None,
     ) -> None:
         self._clock = clock
@@ -135,6 +141,7 @@
         self._zone = zone
         self._floor_share = floor_share
         self._may_send_trial = may_send_trial
+        self._statements = statements or StatementRegistry()
         self._on_change = on_change
         self.members: dict[str, PooledUpstream] = {}
         self.silence_timeout_s = SILENCE_TIMEOUT_S
@@ -154,13 +161,18 @@
         now = self._clock()
         for key, upstream in listed.items():
             known = self.members.get(key)
+            stated = self._statements.find(upstream)
             if known is None:
                 self.members[key] = PooledUpstream(
-                    upstream=upstream, belief=Belief(now)
+                    upstream=upstream, belief=Belief(now), stated=stated
                 )
                 continue
-            if known.upstream.address != upstream.address:
+            if (
+                known.upstream.address != upstream.address
+                or known.upstream.started_ms != upstream.started_ms
+            ):
                 known.moved = False
+            known.stated = stated
             known.upstream = upstream
             known.listed = True
 
@@ -257,7 +269,7 @@
         is_silent = now - member.waiting_since > self.silence_timeout_s
         if member.in_use and is_silent:
             return False
-        return not member.limit_wait_s(now, share=self.rate_share)
+        return not member.statement_wait_s(now, share=self.rate_share)
 
     def _compute_cost(
         self, member: PooledUpstream, use: int, selection: _Selection
@@ -315,6 +327,7 @@
             member.upstream.slots
             for member in self.members.values()
             if member.is_candidate()
+            and now >= member.stated.held_until
             and member.belief.probability_at(now) <= MAX_FAILURE_PROBABILITY
         )
 
@@ -328,9 +341,9 @@
     def count_allowed(
         self, seconds: float, exclude: Container[str] = ()
     ) -> float:
-        """Return how many requests the stated limits allow within a time.
+        """Return how many requests the statements allow within a time.
 
-        It is infinite while an eligible upstream states none.
+        It is infinite while an eligible upstream states no limit.
         """
         now = self._clock()
         return sum(
@@ -378,16 +391,72 @@
         if member is not None:
             member.record_response(self._clock())
 
-    def record_limit(self, upstream_id: str, rate_per_s: float | None) -> bool:
-        """Record the rate that an upstream stated in its last response.
+    def next_allowed_s(self, exclude: Container[str] = ()) -> float:
+        """Return the seconds until some upstream's statements allow a request.
 
-        Returns whether it differs from the one before.
+        It is infinite without an eligible upstream.
         """
-        member = self.members.get(upstream_id)
-        return member is not None and member.record_limit(
-            rate_per_s, self._clock(), share=self.rate_share
+        now = self._clock()
+        return min(
+            (
+                member.statement_wait_s(now, share=self.rate_share)
+                for key, member in self.members.items()
+                if member.is_candidate() and key not in exclude
+            ),
+            default=math.inf,
+        )
+
+    def record_statement(
+        self, upstream: Upstream, statement: UpstreamStatement
+    ) -> bool:
+        """Record what a response states of its upstream.
+
+        Return whether it changes what holds. A process that was replaced
+        states nothing of the present one.
+
+        Parameters
+        ----------
+        upstream
+            The upstream as it was listed when the request was sent.
+        statement
+            What the response states.
+        """
+        member = self._find_process(upstream.upstream_id, upstream.started_ms)
+        return member is not None and member.stated.record(
+            statement, self._clock(), share=self.rate_share
         )
 
+    def record_leaving(self, upstream_id: str, started_ms: int) -> bool:
+        """Record that a peer learned from an upstream that it leaves.
+
+        Return whether that is new and concerns the present process.
+        """
+        member = self._find_process(upstream_id, started_ms)
+        return member is not None and member.stated.record_leaving(
+            self._clock()
+        )
+
+    def _find_process(
+        self, upstream_id: str, started_ms: int
+    ) -> PooledUpstream | None:
+        member = self.members.get(upstream_id)
+        if member is None or member.upstream.started_ms != started_ms:
+            return None
+        return member
+
+    def count_stated(self) -> dict[str, int]:
+        """Return how many listed upstreams hold off, leave or state a limit.
+
+        The keys are ``held_off``, ``leaving`` and ``limited``.
+        """
+        now = self._clock()
+        stated = [m.stated for m in self.members.values() if m.listed]
+        return {
+            "held_off": sum(item.hold_off_s(now) > 0 for item in stated),
+            "leaving": sum(item.left_at is not None for item in stated),
+            "limited": sum(item.limit is not None for item in stated),
+        }
+
     def mark_unreachable(self, upstream_id: str) -> None:
         """Back off from an upstream after a failed connection.
 
--- a/src/hawthornmast/limits/tests/test_rate.py
+++ b/src/hawthornmast/limits/tests/test_rate.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import pytest
 
 from hawthornmast.catalogue import Entry
@@ -11,6 +12,7 @@
 from hawthornmast.limits import Dispatcher
 from hawthornmast.limits import Reason
 from hawthornmast.limits import SharedPool
+from hawthornmast.limits import UpstreamStatement
 from hawthornmast.limits.rate import StatedLimit
 from hawthornmast.limits.rate import STATEMENT_TTL_S
 from standins.clock import ManualClock
@@ -74,7 +76,14 @@
             for number in range(len(limits))
         )
         for number, limit in enumerate(limits):
-            self.pool.record_limit(f"u{number}", limit)
+            self.state_limit(f"u{number}", limit)
+
+    def state_limit(self, name: str, rate_per_s: float | None) -> bool:
+        """Record a response of an upstream; return whether it is a change."""
+        return self.pool.record_statement(
+            self.pool.members[name].upstream,
+            UpstreamStatement(rate_limit_per_s=rate_per_s),
+        )
 
     def count_taken(self, name: str, seconds: float) -> int:
         """Take and release slots; return how often the upstream was taken."""
@@ -103,7 +112,7 @@
     def test_limit_ends_with_a_response_without_it(self) -> None:
         harness = PoolHarness(1.0)
         assert harness.pool.take() is None
-        assert harness.pool.record_limit("u0", None)
+        assert harness.state_limit("u0", None)
         assert harness.pool.take() is not None
 
     def test_limit_that_is_not_stated_again_is_forgotten(self) -> None:
@@ -115,9 +124,14 @@
 
     def test_only_changes_are_reported(self) -> None:
         harness = PoolHarness(1.0)
-        assert not harness.pool.record_limit("u0", 1.0)
-        assert harness.pool.record_limit("u0", 2.0)
-        assert not harness.pool.record_limit("unknown", 2.0)
+        assert not harness.state_limit("u0", 1.0)
+        assert harness.state_limit("u0", 2.0)
+        unknown = attrs.evolve(
+            harness.pool.members["u0"].upstream, upstream_id="unknown"
+        )
+        assert not harness.pool.record_statement(
+            unknown, UpstreamStatement(rate_limit_per_s=2.0)
+        )
 
 
 class TestQueue:
--- a/src/hawthornmast/limits/waiting.py
+++ b/src/hawthornmast/limits/waiting.py
@@ -46,6 +46,9 @@
         It is infinite without limits.
         """
 
+    def next_allowed_s(self, exclude: Container[str]) -> float:
+        """Return the seconds until rate limits allow a request."""
+
     def has_candidate(self, exclude: Container[str]) -> bool:
         """Return whether any upstream is eligible, even with no free slot."""
 
--- a/src/hawthornmast/membership/entries.py
+++ b/src/hawthornmast/membership/entries.py
@@ -32,15 +32,11 @@
     service
         Name of the service.
     upstream
-        Its address, zone, slots and state.
-    started_ms
-        Start time of its process in milliseconds since the epoch, 0 when
-        unknown; distinguishes processes that reuse an identifier.
+        Its address, zone, slots, state and start time.
     """
 
     service: str
     upstream: Upstream
-    started_ms: int = 0
 
     def __attrs_post_init__(self) -> None:
         upstream = self.upstream
@@ -56,7 +52,7 @@
         _check_host(upstream.host)
         _check_range("port", upstream.port, 1, 65_535)
         _check_range("slots", upstream.slots, 1, MAX_SLOTS)
-        _check_range("start time", self.started_ms, 0, MAX_STARTED_MS)
+        _check_range("start time", upstream.started_ms, 0, MAX_STARTED_MS)
 
 
 def _check_name(field: str, value: object) -> None:
@@ -122,7 +118,7 @@
         upstream.port,
         upstream.slots,
         upstream.state is State.LEAVING,
-        item.started_ms,
+        upstream.started_ms,
     ]
 
 
@@ -141,6 +137,6 @@
             port=int(port),
             slots=int(slots),
             state=State.LEAVING if leaving else State.LIVE,
+            started_ms=int(started_ms),
         ),
-        started_ms=int(started_ms),
     )
--- a/src/hawthornmast/platform/headers.py
+++ b/src/hawthornmast/platform/headers.py
@@ -1,6 +1,7 @@
 """Request and response headers exchanged with clients and upstreams."""
 
 import re
+import reprlib
 
 from hawthornmast.common import Upstream
 from hawthornmast.forwarding.dialect import parse_milliseconds
@@ -10,11 +11,13 @@
 from hawthornmast.forwarding.messages import ClientRequest
 from hawthornmast.forwarding.messages import ClientResponse
 from hawthornmast.gateway.upstreams import ResponseAssessment
+from hawthornmast.limits import UpstreamStatement
 from hawthornmast.platform import names
 
 _RESERVED_HEADERS = frozenset({names.DEADLINE, names.EXPECTED_INSTANCE})
 _MISDIRECTED_REQUEST = 421
-_DECIMAL = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
+_SERVICE_UNAVAILABLE = 503
+_DECIMAL = re.compile(rb"[0-9]{1,18}(?:\.[0-9]{1,9})?")
 
 
 class PlatformClientDialect:
@@ -96,12 +99,30 @@
             not_executed=misdirected
             or (matches and exchange.header(names.NOT_EXECUTED) is not None),
             misdirected=misdirected,
-            rate_limit_per_s=_parse_rate(exchange.header(names.RATE_LIMIT)),
+            statement=_parse_statement(exchange),
         )
 
 
-def _parse_rate(value: bytes | None) -> float | None:
-    """Parse requests per second; None if there is no valid value."""
-    if value is None or _DECIMAL.fullmatch(value) is None:
-        return None
-    return float(value)
+def _parse_statement(exchange: Exchange) -> UpstreamStatement:
+    """Parse what a response states of its upstream."""
+    malformed: list[str] = []
+
+    def parse_decimal(name: bytes) -> float | None:
+        value = exchange.header(name)
+        if value is None:
+            return None
+        if _DECIMAL.fullmatch(value) is None:
+            malformed.append(f"{name.decode()}={reprlib.repr(value)}")
+            return None
+        return float(value)
+
+    return UpstreamStatement(
+        leaving=exchange.header(names.LEAVING) == b"1",
+        hold_off_s=(
+            parse_decimal(names.RETRY_AFTER)
+            if exchange.status == _SERVICE_UNAVAILABLE
+            else None
+        ),
+        rate_limit_per_s=parse_decimal(names.RATE_LIMIT),
+        malformed=",".join(malformed),
+    )
--- a/src/hawthornmast/platform/names.py
+++ b/src/hawthornmast/platform/names.py
@@ -9,6 +9,10 @@
 EXPECTED_INSTANCE = b"hawthornmast-expected-instance"
 # Requests per second that the sender takes from all daemons together.
 RATE_LIMIT = b"server-limit"
+# ``1`` in each response of an upstream that leaves.
+LEAVING = b"server-leaving"
+# In a 503: seconds for which the sender takes no requests from this daemon.
+RETRY_AFTER = b"retry-after"
 NOT_EXECUTED = b"hawthornmast-not-executed"
 
 # Endpoints.
--- a/src/hawthornmast/platform/tests/test_headers.py
+++ b/src/hawthornmast/platform/tests/test_headers.py
@@ -221,7 +221,45 @@
         assessment = PlatformUpstreamDialect().assess_response(
             exchange, make_request()
         )
-        assert assessment.rate_limit_per_s == rate
+        assert assessment.statement.rate_limit_per_s == rate
+        assert bool(assessment.statement.malformed) == (rate is None)
+
+    @pytest.mark.parametrize(
+        ("status", "value", "seconds"),
+        [
+            (503, b"1.5", 1.5),
+            (503, b"0", 0.0),
+            (503, b"999999999", 999999999.0),
+            (503, b"-1", None),
+            (503, b"soon", None),
+            (503, b"Fri, 04 Dec 2026 10:00:00 GMT", None),
+            (503, b"1e9", None),
+            (503, b"99999999999", 99999999999.0),
+            (200, b"1.5", None),
+            (429, b"1.5", None),
+        ],
+    )
+    def test_stated_hold_off(
+        self, status: int, value: bytes, seconds: float | None
+    ) -> None:
+        exchange = ResponseStub(status, [(b"retry-after", value)])
+        assessment = PlatformUpstreamDialect().assess_response(
+            exchange, make_request()
+        )
+        assert assessment.statement.hold_off_s == seconds
+        assert bool(assessment.statement.malformed) == (
+            status == 503 and seconds is None
+        )
+
+    @pytest.mark.parametrize(
+        ("value", "leaving"), [(b"1", True), (b"0", False), (b"", False)]
+    )
+    def test_stated_leaving(self, value: bytes, leaving: bool) -> None:
+        exchange = ResponseStub(200, [(b"server-leaving", value)])
+        assessment = PlatformUpstreamDialect().assess_response(
+            exchange, make_request()
+        )
+        assert assessment.statement.leaving == leaving
 
     def test_unrequested_content_coding_is_altered(self) -> None:
         exchange = ResponseStub(
--- a/src/hawthornmast/platform/tests/test_values.py
+++ b/src/hawthornmast/platform/tests/test_values.py
@@ -121,8 +121,8 @@
                     host="10.128.0.9",
                     port=8080,
                     slots=4,
+                    started_ms=1787203747216,
                 ),
-                started_ms=1787203747216,
             )
         )
 
--- a/src/hawthornmast/platform/values.py
+++ b/src/hawthornmast/platform/values.py
@@ -152,6 +152,6 @@
             port=port,
             slots=value["Slots"],
             state=_STATES_BY_NAME[state],
+            started_ms=value.get("born", 0),
         ),
-        started_ms=value.get("born", 0),
     )
