Let a starting member learn which upstreams have left

A member that started anew knew only the list, which lags: it used an upstream again that had told its earlier process, or others, that it leaves. It now asks a peer once; members of earlier versions answer 404, and it then goes by its own responses and the list as before.

tests/test_statements.py::test_member_that_starts_anew_learns_it passes with the change; without the request the member has no such statement.

--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -39,6 +39,10 @@
 from hawthornmast.gateway.snapshots import SNAPSHOT_PATH
 from hawthornmast.gateway.sources import PlatformSource
 from hawthornmast.gateway.sources import StateSynchronizer
+from hawthornmast.gateway.statements import encode_statements
+from hawthornmast.gateway.statements import learn_statements
+from hawthornmast.gateway.statements import LeavingProcess
+from hawthornmast.gateway.statements import STATEMENTS_PATH
 from hawthornmast.gateway.stopping import StopSchedule
 from hawthornmast.gateway.upstreams import UpstreamDialect
 from hawthornmast.limits import StatementRegistry
@@ -218,6 +222,7 @@
         await self.server.start(nursery, listener=listener)
         nursery.start_soon(self.synchronizer.run)
         nursery.start_soon(self._run_periodic_tasks)
+        nursery.start_soon(self._learn_statements)
         log_event(
             _LOG,
             "started",
@@ -253,6 +258,12 @@
         log_event(_LOG, "reloaded", seeds=len(options.seeds))
 
     async def _answer_peer(self, request: http.Request) -> http.Response:
+        if request.path == STATEMENTS_PATH:
+            return http.Response(
+                status=200,
+                headers=(("Content-Type", "application/msgpack"),),
+                body=encode_statements(self.services),
+            )
         if request.path != SNAPSHOT_PATH:
             return http.json_response({"error": "not found"}, status=404)
         version = request.query.get("version", "0")
@@ -398,6 +409,30 @@
             self.gossip.zone_peers() + self.gossip.representatives(),
         )
 
+    async def _learn_statements(self) -> None:
+        """Ask a peer which upstreams left before this member started."""
+        await self.server.initialized.wait()
+        with log_failures("learn-statements"):
+            error = await learn_statements(
+                lambda: self.gossip.zone_peers() + self.gossip.remote_peers(),
+                self._apply_statements,
+            )
+            if error is not None:
+                log_event(
+                    _LOG,
+                    "statements-not-learned",
+                    step=error.step,
+                    detail=error.detail,
+                    peer=error.peer,
+                )
+
+    def _apply_statements(
+        self, leaving: list[LeavingProcess], peer: Instance
+    ) -> None:
+        for upstream_id, started_ms in leaving:
+            for state in self.services:
+                state.record_leaving(upstream_id, started_ms, peer.host)
+
     def _receive_leaving(self, payload: Any, sender: str) -> None:
         """Apply a peer's notice; pass it on if it is from another zone.
 
--- a/tests/test_statements.py
+++ b/tests/test_statements.py
@@ -88,6 +88,29 @@
             await trio.sleep(0.8)
             assert await send_many(deployment, 4) == [200] * 4
 
+    async def test_member_that_starts_anew_learns_it(self) -> None:
+        # Guards against a restarted member that uses an upstream again which
+        # left before, as the list still calls it ready.
+        async with run_deployment(members=3, boxes=2) as deployment:
+            backend = deployment.backends["boxes-0"]
+            set_headers(backend, ("Server-Leaving", "1"))
+            await use(deployment, backend)
+            set_headers(backend)
+            await deployment.add_member(3)
+            await deployment.wait_ready()
+            await trio.sleep(KNOWN_AFTER_S)
+            before = len(backend.requests)
+            for _ in range(8):
+                response = await deployment.send("GET", "/read/1", member=3)
+                assert response.status == 200
+            assert len(backend.requests) == before
+            (pool,) = (
+                state.pool
+                for state in deployment.members[3].services
+                if state.name == "boxes"
+            )
+            assert pool.members["boxes-0"].stated.left_at is not None
+
     async def test_last_upstream_is_not_used_either(self) -> None:
         async with run_deployment(boxes=1) as deployment:
             backend = deployment.backends["boxes-0"]
