Refuse a late second copy of a response that names no request

A response without the request's identifier counted as its own, also on a kept connection, where it may be a second copy of an earlier one: the next client got the body of another request.

On a reused connection of a member, a response must name its request. In the fleet's own interface, where upstreams may leave the identifier out, that holds once a response on the connection carried one.

Whole copies and second halves were refused already.

--- a/src/hawthornmast/forwarding/evidence.py
+++ b/src/hawthornmast/forwarding/evidence.py
@@ -15,9 +15,16 @@
 
 
 def matches_request(exchange: Exchange, request: ClientRequest) -> bool:
-    """Return False if the response carries another request's identifier."""
+    """Return whether the response belongs to the request.
+
+    Upstreams may leave out the request's identifier. But on a connection on
+    which a response carried one, a response without it may be a late copy.
+    """
     request_id = exchange.header(b"hawthornmast-request-id")
-    return request_id is None or request_id == request.request_id.encode()
+    if request_id is None:
+        return not exchange.connection_has_identifiers
+    exchange.connection_has_identifiers = True
+    return request_id == request.request_id.encode()
 
 
 def is_shed(exchange: Exchange, service: Service) -> bool:
--- a/src/hawthornmast/forwarding/exchange.py
+++ b/src/hawthornmast/forwarding/exchange.py
@@ -76,6 +76,7 @@
     __slots__ = (
         "closed",
         "h11_connection",
+        "has_identifiers",
         "idle_s",
         "idle_since",
         "pool",
@@ -88,6 +89,8 @@
         self.pool = pool
         self.idle_since = 0.0
         self.idle_s = math.inf
+        # Whether a response on it carried the identifier of its request.
+        self.has_identifiers = False
         self.h11_connection = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEADER_BYTES
         )
@@ -167,6 +170,15 @@
         self.body = bytearray()
         self.complete = False
 
+    @property
+    def connection_has_identifiers(self) -> bool:
+        """Whether a response on the connection named its request."""
+        return self._conn.has_identifiers
+
+    @connection_has_identifiers.setter
+    def connection_has_identifiers(self, value: bool) -> None:
+        self._conn.has_identifiers = value
+
     def header(self, name: bytes) -> bytes | None:
         """Return the last value of a header, given its name in lower case."""
         return self._values.get(name)
--- a/src/hawthornmast/forwarding/tests/test_faults.py
+++ b/src/hawthornmast/forwarding/tests/test_faults.py
@@ -109,6 +109,17 @@
             assert b"key=k " in (await harness.call()).body
             assert harness.standins[0].accepted_connections == 2
 
+    async def test_second_copy_without_identifier_is_refused(self):
+        # Guards against delivering a late copy of the previous response,
+        # which names no request although the upstream's responses do.
+        async with run_harness(1) as harness:
+            harness.runtime.retries = 0
+            await harness.call(headers=(("X-Request-Key", "first"),))
+            harness.set_faults(late_copy="unnamed")
+            response = await harness.call()
+            assert summarize(response) == (502, "unknown", "upstream-failed")
+            assert b"key=" not in response.body
+
     async def test_late_response_after_client_disconnect_is_dropped(self):
         async with run_harness(1) as harness:
             await harness.call()
--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -31,6 +31,7 @@
 from hawthornmast.gateway.evidence import EvidenceExchange
 from hawthornmast.gateway.services import ServiceRegistry
 from hawthornmast.gateway.stopping import StopSchedule
+from hawthornmast.gateway.upstreams import ResponseAssessment
 from hawthornmast.gateway.upstreams import UpstreamDialect
 from hawthornmast.routing import Configuration
 from hawthornmast.routing import Route
@@ -245,9 +246,7 @@
                 if context.route.idempotent
                 else NON_IDEMPOTENT_MAX_IDLE_S,
                 accepts_head=lambda exchange: (
-                    self._dialect.assess_response(
-                        exchange, context.request
-                    ).valid
+                    self._assess_response(context, exchange).valid
                 ),
             )
             if context.progress.started:
@@ -311,6 +310,14 @@
             has_body=request.has_body,
         )
 
+    def _assess_response(
+        self, context: RequestContext, exchange: Exchange
+    ) -> ResponseAssessment:
+        assessment = self._dialect.assess_response(exchange, context.request)
+        if context.progress.reused:
+            return assessment.on_reused_connection()
+        return assessment
+
     async def _handle_response(
         self,
         context: RequestContext,
@@ -319,9 +326,7 @@
         *,
         elapsed_s: float,
     ) -> ClientResponse | None:
-        assessment = self._dialect.assess_response(exchange, context.request)
-        if context.progress.reused:
-            assessment = assessment.on_reused_connection()
+        assessment = self._assess_response(context, exchange)
         valid = assessment.valid
         if assessment.states_itself:
             context.state.record_statement(upstream, assessment.statement)
--- a/src/hawthornmast/gateway/upstreams.py
+++ b/src/hawthornmast/gateway/upstreams.py
@@ -43,12 +43,14 @@
     def on_reused_connection(self) -> "ResponseAssessment":
         """Return the assessment of a response on a reused connection.
 
-        A refusal that names no request may be a late one of an earlier
-        request there, so that it proves nothing.
+        One that names no request may be a late one, or a second copy, of the
+        response to an earlier request there.
         """
         if self.names_request:
             return self
-        return attrs.evolve(self, not_executed=False, misdirected=False)
+        return attrs.evolve(
+            self, matches_request=False, not_executed=False, misdirected=False
+        )
 
     @property
     def states_itself(self) -> bool:
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -58,6 +58,11 @@
         Key of the request that it names, empty for none.
     crossed
         Send the response of the previous request.
+    late_copy
+        When a further request arrives on a connection, send a copy of the
+        connection's previous response first: ``whole``, ``half`` (its second
+        half), ``unnamed`` (without the headers that name its request) or
+        empty for none.
     two_lengths
         Send both ``Content-Length`` and ``Transfer-Encoding``.
     informational
@@ -99,6 +104,7 @@
     stale_status: int = 503
     stale_key: str = "another"
     crossed: bool = False
+    late_copy: str = ""
     two_lengths: bool = False
     informational: bool = False
     status: int = 200
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -77,6 +77,7 @@
         self._max_log = max_log
         self._clock = clock
         self._started = clock()
+        self._last_responses: dict[trio.SocketStream, bytes] = {}
         self._previous_response: (
             tuple[list[tuple[bytes, bytes]], bytes] | None
         ) = None
@@ -139,6 +140,7 @@
             _log.debug("event=bad-request")
         finally:
             self.open_connections -= 1
+            self._last_responses.pop(stream, None)
             await trio.aclose_forcefully(stream)
 
     async def _serve_one(
@@ -200,6 +202,7 @@
         faults = self.faults
         request_headers = dict(request.headers)
         key = request_headers.get(self.key_header, b"").decode("latin-1")
+        await self._send_late_copy(stream, faults)
         if faults.mute and not faults.run_muted:
             await self._wait_until_closed(stream)
             return False
@@ -278,6 +281,29 @@
             stream, connection, request, status, headers, content, faults
         )
 
+    async def _send_late_copy(
+        self, stream: trio.SocketStream, faults: Faults
+    ) -> None:
+        """Send a copy of the last response on a connection, if it is a fault.
+
+        It comes late, when the connection is in use again.
+        """
+        copy = self._last_responses.get(stream, b"")
+        if not copy or not faults.late_copy:
+            return
+        if faults.late_copy == "half":
+            copy = copy[len(copy) // 2 :]
+        elif faults.late_copy == "unnamed":
+            names = (self.key_header.lower(), self.echoed_header.lower())
+            head, _, body = copy.partition(b"\r\n\r\n")
+            lines = [
+                line
+                for line in head.split(b"\r\n")
+                if line.partition(b":")[0].lower() not in names
+            ]
+            copy = b"\r\n".join(lines) + b"\r\n\r\n" + body
+        await stream.send_all(copy)
+
     def reject(
         self, request_headers: dict[bytes, bytes]
     ) -> tuple[int, list[tuple[bytes, bytes]]] | None:
@@ -362,6 +388,7 @@
         if request.method != b"HEAD" and status not in (204, 304):
             data += connection.send(h11.Data(data=content)) or b""
         data += connection.send(h11.EndOfMessage()) or b""
+        self._last_responses[stream] = data
         await stream.send_all(data)
         return (
             connection.our_state is h11.DONE
