Count slots and the floor only when they are needed

With about 100 upstreams of a service, each selection counted the floor anew, and each report of a peer counted the usable slots although nothing waited; both take a time that grows with the upstreams.

The slots are counted after a change when they are first needed, the floor at most every 50 ms, and statements are skipped while there are none.

--- a/src/hawthornmast/limits/dispatcher.py
+++ b/src/hawthornmast/limits/dispatcher.py
@@ -123,7 +123,8 @@
         self._waiting = 0
         self._turn_count = 0
         self._mean_service_time = 0.0
-        self._slots = pool.count_usable()
+        # Usable slots of the pool, None after a change until they are needed.
+        self._usable_slots: int | None = None
         self._closed = False
         self._dispatching = False
 
@@ -220,8 +221,9 @@
 
     def redispatch(self) -> None:
         """Dispatch after a change of the standing or number of slots."""
-        self._slots = self._pool.count_usable()
-        self._dispatch()
+        self._usable_slots = None
+        if self._waiting:
+            self._dispatch()
 
     def update_service(self, service: Service) -> None:
         """Apply a new revision; queued requests keep their places."""
@@ -372,6 +374,13 @@
             ahead += count
         return ahead * self._mean_service_time / self._slots
 
+    @property
+    def _slots(self) -> int:
+        """Usable slots, counted after each change when first needed."""
+        if self._usable_slots is None:
+            self._usable_slots = self._pool.count_usable()
+        return self._usable_slots
+
     def _dispatch(self) -> None:
         """Grant free slots until none is left or usable."""
         if self._dispatching:
--- a/src/hawthornmast/limits/pooled.py
+++ b/src/hawthornmast/limits/pooled.py
@@ -72,6 +72,8 @@
 
     def statement_wait_s(self, now: float, *, share: float) -> float:
         """Return the seconds until its statements allow a request."""
+        if self.stated.limit is None and now >= self.stated.held_until:
+            return 0.0
         hold_off_s = self.stated.hold_off_s(now)
         limit = self._get_limit(now)
         if limit is None:
--- a/src/hawthornmast/limits/shared.py
+++ b/src/hawthornmast/limits/shared.py
@@ -50,6 +50,9 @@
 """Time without any response, while requests are in flight, after which this
 daemon sends an upstream no further requests."""
 
+FLOOR_CHECK_INTERVAL_S = 0.05
+"""Time for which the count of upstreams that receive requests holds."""
+
 TRIAL_PRIORITY = 2.0
 """Deduction from the cost of an upstream that receives a trial request."""
 
@@ -148,6 +151,10 @@
         self.explores = True
         self.rate_share = 1.0
         self._outcomes = OutcomeWindow(clock)
+        # Whether the floor was kept when last counted, and until when the
+        # count holds.
+        self._below_floor = False
+        self._below_floor_until = -math.inf
         self._allowance = CoverageAllowance()
 
     def update(self, upstreams: Iterable[Upstream]) -> None:
@@ -252,7 +259,17 @@
         )
 
     def _is_below_floor(self, now: float) -> bool:
-        """Return whether too few healthy upstreams receive requests."""
+        """Return whether too few healthy upstreams receive requests.
+
+        Counted at most once in ``FLOOR_CHECK_INTERVAL_S``, since it is part
+        of each selection and takes a time that grows with the upstreams.
+        """
+        if now >= self._below_floor_until:
+            self._below_floor = self._count_below_floor(now)
+            self._below_floor_until = now + FLOOR_CHECK_INTERVAL_S
+        return self._below_floor
+
+    def _count_below_floor(self, now: float) -> bool:
         latest_due_s = COVERAGE_INTERVAL_S + 2 * COVERAGE_DELAY_S
         healthy = 0
         receiving = 0
