--- a/src/hawthornmast/membership/lists.py
+++ b/src/hawthornmast/membership/lists.py
@@ -19,6 +19,7 @@
 from hawthornmast.common import State
 from hawthornmast.common import StepError
 from hawthornmast.common import Upstream
+from hawthornmast.membership.entries import MAX_STARTED_MS
 
 _T = TypeVar("_T")
 _Check = Callable[[Any], bool]
@@ -49,6 +50,10 @@
     return type(value) is int and value > 0
 
 
+def _is_start_time(value: Any) -> bool:
+    return type(value) is int and 0 <= value <= MAX_STARTED_MS
+
+
 def _is_host(value: Any) -> bool:
     try:
         return isinstance(value, str) and bool(ipaddress.ip_address(value))
@@ -76,9 +81,10 @@
     "upstream_id": (_is_name, "a name without spaces"),
     "slots": (_is_count, "an integer of 1 or more"),
     "connections": (_is_count, "an integer of 1 or more"),
+    "started_ms": (_is_start_time, f"an integer from 0 to {MAX_STARTED_MS}"),
     **_COMMON,
 }
-_OPTIONAL = {"state", "connections", "capacity"}
+_OPTIONAL = {"state", "connections", "capacity", "started_ms"}
 
 
 # Cached because a list is parsed once to validate and once to apply it.
