--- a/src/hawthornmast/gateway/stopping.py
+++ b/src/hawthornmast/gateway/stopping.py
@@ -8,11 +8,11 @@
 
 import attrs
 
-END_MARGIN_S = 0.2
+END_MARGIN_S = 0.3
 """Time before the kill at which the last requests end. Their answers are sent,
 connections are closed and the process exits in it."""
 
-EXIT_MARGIN_S = 0.1
+EXIT_MARGIN_S = 0.2
 """Time before the kill at which the process exits even if connections are
 open."""
 
