Pass on no refusal of work that an upstream may have run

A signed 503, 429 or 408 of an upstream without its statement that it did not execute the request went to the client as it was. To a client these statuses promise that the request has not run, so that work which ran was reported as not run.

Such a response now ends as 502 or, if the request may be repeated, in a second try; it counts as a failure of its upstream. Ruled out: reading the status as the statement, which the platform's protocol doesn't allow.

--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -50,6 +50,11 @@
 
 MIN_RETRY_AFTER_S = 0.05
 
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that promise a client that its request has not run and never will.
+A response of an upstream with one of them is passed on only as a refusal of
+this member, once the upstream stated that it did not execute the request."""
+
 NON_IDEMPOTENT_MAX_IDLE_S = 2.0
 """Maximum idle time of a connection that is reused for a request that must not
 be repeated."""
@@ -348,6 +353,10 @@
                         502, "bad-response", outcome=Outcome.UNKNOWN
                     ),
                 )
+            if exchange.status in NOT_RUN_STATUSES:
+                return self._handle_unproved_refusal(
+                    context, upstream, exchange.status, elapsed_s=elapsed_s
+                )
             answer = ClientResponse(
                 status=exchange.status,
                 outcome=Outcome.COMPLETE,
@@ -418,6 +427,33 @@
             }
         return None
 
+    def _handle_unproved_refusal(
+        self,
+        context: RequestContext,
+        upstream: Upstream,
+        status: int,
+        *,
+        elapsed_s: float,
+    ) -> ClientResponse | None:
+        """Retry or answer a refused request that its upstream may have run.
+
+        The status would tell the client that the request did not run, which
+        the upstream doesn't state.
+        """
+        self._recorder.record_response(
+            context, upstream, max(status, 500), elapsed_s=elapsed_s
+        )
+        return self._handle_failure(
+            context,
+            upstream,
+            build_error_response(
+                502,
+                "bad-response",
+                outcome=Outcome.UNKNOWN,
+                detail=f"{status} of an upstream that may have run it",
+            ),
+        )
+
     def _handle_error(
         self, context: RequestContext, upstream: Upstream, step: str
     ) -> ClientResponse | None:
--- a/tests/test_stale_refusals.py
+++ b/tests/test_stale_refusals.py
@@ -63,3 +63,33 @@
             set_faults(deployment, stale_refusal=False)
             response = await deployment.send("GET", "/read/1")
             assert response.status == 200
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+class TestRefusalOfWorkThatRan:
+    """A status that promises "not run" is passed on only if that is stated.
+
+    Guards against a client that is told that its request did not run, because
+    the upstream ran it and answered with such a status.
+    """
+
+    async def test_non_idempotent_request_ends_as_unknown(
+        self, status: int
+    ) -> None:
+        async with run_deployment(boxes=1, billing=3) as deployment:
+            set_faults(deployment, status=status)
+            response = await deployment.send(
+                "POST", "/charge/1", host="pay.example"
+            )
+            assert deployment.count_runs() == 1
+            assert response.status == 502
+
+    async def test_idempotent_request_is_served_by_another_upstream(
+        self, status: int
+    ) -> None:
+        async with run_deployment(boxes=2) as deployment:
+            faulty = deployment.backends["boxes-0"]
+            faulty.faults.status = status
+            for _ in range(4):
+                response = await deployment.send("GET", "/read/1")
+                assert response.status == 200
