--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -15,7 +15,6 @@
 from hawthornmast.audit import log_failures
 from hawthornmast.common import Instance
 from hawthornmast.common import State
-from hawthornmast.common import Upstream
 from hawthornmast.forwarding import ClientLimits
 from hawthornmast.forwarding import Dialect
 from hawthornmast.forwarding import UpstreamClient
@@ -40,8 +39,7 @@
 from hawthornmast.gateway.sources import PlatformSource
 from hawthornmast.gateway.sources import StateSynchronizer
 from hawthornmast.gateway.statements import encode_statements
-from hawthornmast.gateway.statements import learn_statements
-from hawthornmast.gateway.statements import LeavingProcess
+from hawthornmast.gateway.statements import StatementExchange
 from hawthornmast.gateway.statements import STATEMENTS_PATH
 from hawthornmast.gateway.stopping import StopSchedule
 from hawthornmast.gateway.upstreams import UpstreamDialect
@@ -126,6 +124,9 @@
         self.evidence = EvidenceExchange(
             self.services, send=self._send_evidence
         )
+        self.statements = StatementExchange(
+            self.services, gossip=self.gossip, send=self._send_leaving_notice
+        )
         upstream_client = UpstreamClient(
             connect_s=CONNECT_TIMEOUT_S, allow_close_delimited=True
         )
@@ -382,7 +383,7 @@
             self.evidence.receive(payload, sender)
             return
         if kind is MessageKind.LEAVING_UPSTREAM:
-            self._receive_leaving(payload, sender)
+            self.statements.receive(payload, sender)
             return
         rows, summary = payload
         if rows:
@@ -393,75 +394,20 @@
                 decode_summary(summary), peer, self._nursery
             )
 
-    def _send_evidence(self, report: list[Any]) -> None:
-        own_id = self.options.instance.instance_id
-        hosts = [i.host for i in self._advertised if i.instance_id != own_id]
-        self.datagrams.send(hosts, MessageKind.EVIDENCE, report)
-
-    def _announce_leaving(self, upstream: Upstream) -> None:
-        """Tell the zone and the other representatives of a leaving upstream.
-
-        Earlier versions refuse this message and go by the published list.
-        """
-        self._send_leaving(
-            upstream.upstream_id,
-            upstream.started_ms,
-            self.gossip.zone_peers() + self.gossip.representatives(),
-        )
-
     async def _learn_statements(self) -> None:
-        """Ask a peer which upstreams left before this member started."""
         await self.server.initialized.wait()
         with log_failures("learn-statements"):
-            error = await learn_statements(
-                lambda: self.gossip.zone_peers() + self.gossip.remote_peers(),
-                self._apply_statements,
-            )
-            if error is not None:
-                log_event(
-                    _LOG,
-                    "statements-not-learned",
-                    step=error.step,
-                    detail=error.detail,
-                    peer=error.peer,
-                )
-
-    def _apply_statements(
-        self, leaving: list[LeavingProcess], peer: Instance
-    ) -> None:
-        for upstream_id, started_ms in leaving:
-            for state in self.services:
-                state.record_leaving(upstream_id, started_ms, peer.host)
-
-    def _receive_leaving(self, payload: Any, sender: str) -> None:
-        """Apply a peer's notice; pass it on if it is from another zone.
+            await self.statements.learn()
 
-        Raises ValueError or TypeError for a malformed notice.
-        """
-        upstream_id, started_ms = payload
-        started_ms = int(started_ms)
-        is_new = [
-            state.record_leaving(upstream_id, started_ms, sender)
-            for state in self.services
-        ]
-        peer = self.gossip.find(sender)
-        if (
-            any(is_new)
-            and peer is not None
-            and peer.zone != self.options.instance.zone
-        ):
-            self._send_leaving(
-                upstream_id, started_ms, self.gossip.zone_peers()
-            )
-
-    def _send_leaving(
-        self, upstream_id: str, started_ms: int, recipients: list[Instance]
+    def _send_leaving_notice(
+        self, hosts: list[str], notice: list[Any]
     ) -> None:
-        self.datagrams.send(
-            [item.host for item in recipients],
-            MessageKind.LEAVING_UPSTREAM,
-            [upstream_id, started_ms],
-        )
+        self.datagrams.send(hosts, MessageKind.LEAVING_UPSTREAM, notice)
+
+    def _send_evidence(self, report: list[Any]) -> None:
+        own_id = self.options.instance.instance_id
+        hosts = [i.host for i in self._advertised if i.instance_id != own_id]
+        self.datagrams.send(hosts, MessageKind.EVIDENCE, report)
 
     def _make_service(
         self, name: str, statements: StatementRegistry
@@ -472,7 +418,7 @@
             zone=self.options.instance.zone,
             random_source=self._random,
             statements=statements,
-            on_leaving=self._announce_leaving,
+            on_leaving=self.statements.announce,
         )
 
     def _apply_configuration(
--- a/src/hawthornmast/gateway/statements.py
+++ b/src/hawthornmast/gateway/statements.py
@@ -1,10 +1,13 @@
-"""What a member that starts learns of upstreams that state that they leave.
+"""Exchange of statements between members: which upstreams leave.
 
-The published list lags, and a restarted member remembers nothing. It asks a
-peer once, so that it doesn't use upstreams again which left before its start.
+The published list lags. A member that learns from an upstream that it leaves
+tells the others. A restarted member remembers nothing, so it asks a peer once,
+and doesn't use upstreams again which left before its start.
 """
 
 from collections.abc import Callable
+import logging
+from typing import Any
 
 import msgpack
 from result import Err
@@ -14,9 +17,14 @@
 
 from hawthornmast import http
 from hawthornmast.audit import describe_error
+from hawthornmast.audit import log_event
 from hawthornmast.common import Instance
 from hawthornmast.common import StepError
+from hawthornmast.common import Upstream
 from hawthornmast.gateway.services import ServiceRegistry
+from hawthornmast.membership.gossip import Gossip
+
+_LOG = logging.getLogger("hawthornmast.gateway.statements")
 
 STATEMENTS_PATH = "/v1/statements"
 
@@ -80,28 +88,90 @@
     )
 
 
-async def learn_statements(
-    list_peers: Callable[[], list[Instance]],
-    apply: Callable[[list[LeavingProcess], Instance], None],
-) -> StepError | None:
-    """Ask peers in turns until one answers; return the last error, if none.
+class StatementExchange:
+    """Tells members which upstreams state that they leave.
 
     Parameters
     ----------
-    list_peers
-        Returns the live peers, the preferred ones first.
-    apply
-        Called with what the first peer that answers knows.
+    services
+        Services that this member forwards to.
+    gossip
+        Membership of the fleet.
+    send
+        Sends a notice to IP addresses.
     """
-    error: StepError | None = None
-    for attempt in range(MAX_ATTEMPTS):
-        peers = list_peers()
-        if peers:
-            peer = peers[attempt % len(peers)]
-            result = await fetch_statements(peer)
-            if isinstance(result, Ok):
-                apply(result.ok_value, peer)
-                return None
-            error = result.err_value
-        await trio.sleep(RETRY_INTERVAL_S)
-    return error
+
+    def __init__(
+        self,
+        services: ServiceRegistry,
+        *,
+        gossip: Gossip,
+        send: Callable[[list[str], list[Any]], None],
+    ) -> None:
+        self._services = services
+        self._gossip = gossip
+        self._send = send
+
+    def announce(self, upstream: Upstream) -> None:
+        """Tell the zone and the other representatives of a new statement.
+
+        Members of earlier versions refuse the notice and go by the published
+        list.
+        """
+        self._send_notice(
+            upstream.upstream_id,
+            upstream.started_ms,
+            self._gossip.zone_peers() + self._gossip.representatives(),
+        )
+
+    def receive(self, notice: Any, sender: str) -> None:
+        """Apply a peer's notice; pass it on if it is from another zone.
+
+        Raises ValueError or TypeError for a malformed notice.
+        """
+        upstream_id, started_ms = notice
+        process = str(upstream_id), int(started_ms)
+        peer = self._gossip.find(sender)
+        if (
+            self._apply(process, sender)
+            and peer is not None
+            and peer.zone != self._gossip.instance.zone
+        ):
+            self._send_notice(*process, self._gossip.zone_peers())
+
+    async def learn(self) -> None:
+        """Ask peers, in turns until one answers, what left before."""
+        error: StepError | None = None
+        for attempt in range(MAX_ATTEMPTS):
+            peers = self._gossip.zone_peers() + self._gossip.remote_peers()
+            if peers:
+                peer = peers[attempt % len(peers)]
+                result = await fetch_statements(peer)
+                if isinstance(result, Ok):
+                    for process in result.ok_value:
+                        self._apply(process, peer.host)
+                    return
+                error = result.err_value
+            await trio.sleep(RETRY_INTERVAL_S)
+        if error is not None:
+            log_event(
+                _LOG,
+                "statements-not-learned",
+                step=error.step,
+                detail=error.detail,
+                peer=error.peer,
+            )
+
+    def _apply(self, process: LeavingProcess, peer: str) -> bool:
+        """Record a process that leaves; return whether that is new."""
+        applied = [
+            state.record_leaving(*process, peer) for state in self._services
+        ]
+        return any(applied)
+
+    def _send_notice(
+        self, upstream_id: str, started_ms: int, recipients: list[Instance]
+    ) -> None:
+        self._send(
+            [item.host for item in recipients], [upstream_id, started_ms]
+        )
