Split what follows a failed attempt from the forwarder

gateway/forwarder.py had grown to 483 lines with code; AttemptOutcomes now decides whether a request is sent again or answered.

--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -30,6 +30,8 @@
 from hawthornmast.gateway.attempts import EvidenceRecorder
 from hawthornmast.gateway.attempts import RequestContext
 from hawthornmast.gateway.evidence import EvidenceExchange
+from hawthornmast.gateway.outcomes import AttemptOutcomes
+from hawthornmast.gateway.outcomes import MIN_RETRY_AFTER_S
 from hawthornmast.gateway.services import ServiceRegistry
 from hawthornmast.gateway.stopping import StopSchedule
 from hawthornmast.gateway.upstreams import ResponseAssessment
@@ -45,12 +47,6 @@
 """Maximum size of a response that is buffered. A truncated response can be
 retried only while no part of it was sent to the client."""
 
-RETRY_AFTER_FRACTION = 0.25
-"""Maximum fraction of its remaining time that a refused client is asked to
-wait."""
-
-MIN_RETRY_AFTER_S = 0.05
-
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that promise a client that its request has not run and never will.
 A response of an upstream with one of them is passed on only as a refusal of
@@ -114,6 +110,7 @@
         self._upstream_client = upstream_client
         self._dialect = dialect
         self._recorder = EvidenceRecorder(evidence, clock=clock)
+        self._outcomes = AttemptOutcomes(self._recorder, clock=clock)
         self._clock = clock
         self._splits = SplitBalancer()
         self.stop: StopSchedule | None = None
@@ -165,7 +162,7 @@
         trace.owner = service
         state = self._services.find(service)
         if state is None:
-            return self._refuse_unavailable("no-service", request, None)
+            return self._outcomes.refuse("no-service", request, None)
         timeout_s = route.timeout_s
         if request.timeout_s is not None:
             timeout_s = min(timeout_s, request.timeout_s)
@@ -211,7 +208,7 @@
             and context.last_answer.outcome is Outcome.UNKNOWN
         ):
             return build_error_response(504, reason, outcome=Outcome.UNKNOWN)
-        return self._refuse_unavailable(reason, context.request, None)
+        return self._outcomes.refuse(reason, context.request, None)
 
     async def _attempt(self, context: RequestContext) -> ClientResponse | None:
         """Make one attempt; return None if another one is to be made."""
@@ -226,7 +223,7 @@
                 return context.last_answer
             refusal = admitted.err_value
             context.trace.steps.append(f"refused:{refusal.reason.value}")
-            return self._refuse_unavailable(
+            return self._outcomes.refuse(
                 refusal.reason.value, context.request, refusal.retry_after
             )
         admission = admitted.ok_value
@@ -269,7 +266,7 @@
                 context.attempted_ids.add(upstream.upstream_id)
             if isinstance(send_result, Err):
                 step = f"{send_result.err_value.step}-failed"
-                return self._handle_error(
+                return self._outcomes.handle_error(
                     context, upstream, send_result.err_value.step
                 )
             exchange = send_result.ok_value
@@ -309,7 +306,7 @@
     def _refuse_stopping(self, context: RequestContext) -> ClientResponse:
         """Return the refusal of a request that was never sent."""
         context.trace.steps.append("refused:closing")
-        return self._refuse_unavailable("closing", context.request, None)
+        return self._outcomes.refuse("closing", context.request, None)
 
     def _build_request(
         self, context: RequestContext, upstream: Upstream
@@ -350,14 +347,14 @@
             if assessment.misdirected:
                 context.state.pool.mark_moved(upstream.upstream_id)
             if assessment.not_executed:
-                return self._handle_rejection(
+                return self._outcomes.handle_rejection(
                     context,
                     upstream,
                     hold_off_s=assessment.statement.hold_off_s,
                 )
             if not valid:
                 self._recorder.record_failure(context, upstream)
-                return self._handle_failure(
+                return self._outcomes.handle_failure(
                     context,
                     upstream,
                     build_error_response(
@@ -365,7 +362,7 @@
                     ),
                 )
             if exchange.status in NOT_RUN_STATUSES:
-                return self._handle_unproved_refusal(
+                return self._outcomes.handle_unproved_refusal(
                     context, upstream, exchange.status, elapsed_s=elapsed_s
                 )
             answer = ClientResponse(
@@ -390,7 +387,7 @@
                 context, upstream, exchange.status, elapsed_s=elapsed_s
             )
             if exchange.status >= 500 and not answer.streamed:
-                return self._handle_failure(context, upstream, answer)
+                return self._outcomes.handle_failure(context, upstream, answer)
             return answer
         finally:
             exchange.release(reusable=valid)
@@ -406,131 +403,3 @@
         answer.truncated = not await context.deliver(answer, exchange)
         if answer.truncated:
             answer.outcome = Outcome.UNKNOWN
-
-    def _handle_rejection(
-        self,
-        context: RequestContext,
-        upstream: Upstream,
-        *,
-        hold_off_s: float | None,
-    ) -> ClientResponse | None:
-        """Retry a request that its upstream stated it did not run.
-
-        Such a request is safe to send again, but only to as many distinct
-        upstreams as its route allows attempts. Until then, upstreams that
-        rejected it are excluded. Once that many upstreams have received it, it
-        is sent only to those that rejected it, including this one, because
-        they haven't run it and may accept it later.
-        """
-        if context.last_answer is None:
-            context.last_answer = self._refuse_unavailable(
-                "rejected", context.request, hold_off_s
-            )
-        context.excluded_ids.add(upstream.upstream_id)
-        if not context.state.budget.take():
-            return context.last_answer
-        if len(context.attempted_ids) >= context.route.max_attempts:
-            context.excluded_ids = {
-                key
-                for key in context.state.pool.members
-                if key not in context.attempted_ids
-                or key in context.failed_ids
-            }
-        return None
-
-    def _handle_unproved_refusal(
-        self,
-        context: RequestContext,
-        upstream: Upstream,
-        status: int,
-        *,
-        elapsed_s: float,
-    ) -> ClientResponse | None:
-        """Retry or answer a refused request that its upstream may have run.
-
-        The status would tell the client that the request did not run, which
-        the upstream doesn't state.
-        """
-        self._recorder.record_response(
-            context, upstream, max(status, 500), elapsed_s=elapsed_s
-        )
-        return self._handle_failure(
-            context,
-            upstream,
-            build_error_response(
-                502,
-                "bad-response",
-                outcome=Outcome.UNKNOWN,
-                detail=f"{status} of an upstream that may have run it",
-            ),
-        )
-
-    def _handle_error(
-        self, context: RequestContext, upstream: Upstream, step: str
-    ) -> ClientResponse | None:
-        """Retry or answer a request whose exchange failed."""
-        if step == "deadline":
-            return context.last_answer or self._refuse_unavailable(
-                "deadline", context.request, None
-            )
-        if not context.progress.started:
-            # Nothing was sent, so the request is safe to send again.
-            context.excluded_ids.add(upstream.upstream_id)
-            if context.progress.connect_timed_out:
-                context.state.pool.mark_unreachable(upstream.upstream_id)
-            else:
-                self._recorder.record_failure(context, upstream)
-            return None
-        # An upstream may close an idle connection, so the close of a reused
-        # one without a response is no evidence of a failure.
-        if context.progress.unacknowledged:
-            # Peers may still reach it.
-            context.state.pool.mark_unreachable(upstream.upstream_id)
-        elif not context.progress.reused or context.progress.response_started:
-            self._recorder.record_failure(context, upstream)
-        return self._handle_failure(
-            context,
-            upstream,
-            build_error_response(
-                502,
-                "upstream-failed",
-                outcome=Outcome.UNKNOWN,
-                detail=f"{step} failed",
-            ),
-        )
-
-    def _handle_failure(
-        self,
-        context: RequestContext,
-        upstream: Upstream,
-        answer: ClientResponse,
-    ) -> ClientResponse | None:
-        """Retry or answer a request that ran or may have run."""
-        context.excluded_ids.add(upstream.upstream_id)
-        context.failed_ids.add(upstream.upstream_id)
-        context.last_answer = answer
-        if context.route.idempotent and self._may_retry(context):
-            return None
-        return answer
-
-    def _may_retry(self, context: RequestContext) -> bool:
-        return (
-            len(context.attempted_ids) < context.route.max_attempts
-            and context.state.budget.take()
-        )
-
-    def _refuse_unavailable(
-        self, reason: str, request: ClientRequest, wait_s: float | None
-    ) -> ClientResponse:
-        """Return a 503 refusal.
-
-        Its ``Retry-After`` leaves the client time for a retry, should it make
-        one.
-        """
-        wait = MIN_RETRY_AFTER_S if wait_s is None else wait_s
-        if request.timeout_s is not None:
-            left = request.received_at + request.timeout_s - self._clock()
-            wait = min(wait, max(0.0, left) * RETRY_AFTER_FRACTION)
-        return build_error_response(
-            503, reason, retry_after=max(MIN_RETRY_AFTER_S, wait)
-        )
