Revert the sooner end of an unacknowledged path

It was to serve requests that wait on a connection that went silent. A change that serves nobody better isn't kept.

--- a/src/hawthornmast/forwarding/exchange.py
+++ b/src/hawthornmast/forwarding/exchange.py
@@ -48,9 +48,6 @@
         At least one byte of a response was received.
     connect_timed_out
         Establishing the connection timed out; it was not refused.
-    unacknowledged
-        The upstream's host acknowledged nothing for too long, so that the
-        path to it is broken.
     started_at
         Monotonic time at which sending started.
     """
@@ -59,7 +56,6 @@
     reused: bool = False
     response_started: bool = False
     connect_timed_out: bool = False
-    unacknowledged: bool = False
     started_at: float = 0.0
 
 
@@ -78,7 +74,6 @@
     """A pooled connection to an upstream."""
 
     __slots__ = (
-        "acknowledge_s",
         "closed",
         "h11_connection",
         "has_identifiers",
@@ -94,8 +89,6 @@
         self.pool = pool
         self.idle_since = 0.0
         self.idle_s = math.inf
-        # Limit in seconds that is set on the socket, 0 for none.
-        self.acknowledge_s = 0.0
         # Whether a response on it carried the identifier of its request.
         self.has_identifiers = False
         self.h11_connection = h11.Connection(
@@ -110,16 +103,6 @@
             self.pool.open -= 1
             self.sock.close()
 
-    def limit_acknowledgement(self, seconds: float) -> None:
-        """Fail if sent bytes are not acknowledged for so long."""
-        if self.acknowledge_s != seconds:
-            self.acknowledge_s = seconds
-            self.sock.setsockopt(
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                round(seconds * 1000),
-            )
-
     def is_expired(self, now: float) -> bool:
         """Return whether the connection exceeded its idle timeout."""
         return now - self.idle_since >= self.idle_s
--- a/src/hawthornmast/forwarding/upstream.py
+++ b/src/hawthornmast/forwarding/upstream.py
@@ -1,7 +1,6 @@
 """HTTP client for upstreams with connection pools."""
 
 from collections.abc import Callable
-import errno
 import math
 import socket
 
@@ -24,9 +23,7 @@
 from hawthornmast.forwarding.exchange import UpstreamRequest
 from hawthornmast.forwarding.serialization import write_request
 
-ACKNOWLEDGE_TIMEOUT_S = 1.5
-"""Time without an acknowledgement of sent bytes after which a connection
-fails, unless the request sets another."""
+_TCP_USER_TIMEOUT_MS = 1500
 
 
 class UpstreamClient:
@@ -79,7 +76,6 @@
         new_connection: bool,
         buffer_bytes: int,
         max_idle_s: float = math.inf,
-        acknowledge_s: float = ACKNOWLEDGE_TIMEOUT_S,
         accepts_head: Callable[[Exchange], bool] = lambda exchange: True,
     ) -> Result[Exchange, StepError]:
         """Send a request and read its response up to ``buffer_bytes``.
@@ -95,9 +91,6 @@
             Don't use a pooled connection.
         max_idle_s
             Don't use a connection that was idle for longer.
-        acknowledge_s
-            Seconds without an acknowledgement of sent bytes after which the
-            request fails.
         accepts_head
             Returns whether the head is one of a response to the request. If
             not, its body is not read, because it may never end.
@@ -129,7 +122,6 @@
                         detail="passed before the request was sent",
                     )
                 )
-            conn.limit_acknowledgement(acknowledge_s)
             # The call returns once bytes were sent. If it raises, also when
             # cancelled, the upstream has received nothing.
             sent = await sockets.send_some(conn.sock, data)
@@ -147,11 +139,6 @@
             progress.connect_timed_out = step == "connect" and isinstance(
                 error, TimeoutError
             )
-            progress.unacknowledged = (
-                step != "connect"
-                and isinstance(error, OSError)
-                and error.errno == errno.ETIMEDOUT
-            )
             detail = f"{type(error).__name__}: {error}"
             return Err(
                 StepError(step=step, detail=detail, peer=upstream.address)
@@ -234,6 +221,12 @@
         connected = False
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            # Fail early if the peer doesn't acknowledge sent data.
+            sock.setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                _TCP_USER_TIMEOUT_MS,
+            )
             with trio.move_on_after(self._connect_s):
                 await sockets.connect(sock, upstream.host, upstream.port)
                 connected = True
--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -25,7 +25,6 @@
 from hawthornmast.forwarding.messages import ClientRequest
 from hawthornmast.forwarding.messages import ClientResponse
 from hawthornmast.forwarding.messages import Trace
-from hawthornmast.forwarding.upstream import ACKNOWLEDGE_TIMEOUT_S
 from hawthornmast.forwarding.upstream import UpstreamClient
 from hawthornmast.gateway.attempts import EvidenceRecorder
 from hawthornmast.gateway.attempts import RequestContext
@@ -52,11 +51,6 @@
 A response of an upstream with one of them is passed on only as a refusal of
 this member, once the upstream stated that it did not execute the request."""
 
-IDEMPOTENT_ACKNOWLEDGE_S = 0.5
-"""Time without an acknowledgement after which a request that may be repeated
-fails. Its bytes, lost once, are sent again and acknowledged within this time;
-a broken path leaves time for another upstream."""
-
 NON_IDEMPOTENT_MAX_IDLE_S = 2.0
 """Maximum idle time of a connection that is reused for a request that must not
 be repeated."""
@@ -253,11 +247,6 @@
                 max_idle_s=math.inf
                 if context.route.idempotent
                 else NON_IDEMPOTENT_MAX_IDLE_S,
-                acknowledge_s=(
-                    IDEMPOTENT_ACKNOWLEDGE_S
-                    if context.route.idempotent
-                    else ACKNOWLEDGE_TIMEOUT_S
-                ),
                 accepts_head=lambda exchange: (
                     self._assess_response(context, exchange).valid
                 ),
--- a/src/hawthornmast/gateway/outcomes.py
+++ b/src/hawthornmast/gateway/outcomes.py
@@ -116,10 +116,7 @@
             return None
         # An upstream may close an idle connection, so the close of a reused
         # one without a response is no evidence of a failure.
-        if context.progress.unacknowledged:
-            # Peers may still reach it.
-            context.state.pool.mark_unreachable(upstream.upstream_id)
-        elif not context.progress.reused or context.progress.response_started:
+        if not context.progress.reused or context.progress.response_started:
             self._recorder.record_failure(context, upstream)
         return self.handle_failure(
             context,
