Learn of leaving upstreams from two peers

A member that starts asked one peer, which may just have started itself and know nothing. It now asks until two have answered. The refusal's wait and backlog are computed under names of their own; its value is unchanged. The tests of the limits and statements pass.

--- a/src/hawthornmast/gateway/statements.py
+++ b/src/hawthornmast/gateway/statements.py
@@ -1,7 +1,7 @@
 """Exchange of statements between members: which upstreams leave.
 
 The published list lags. A member that learns from an upstream that it leaves
-tells the others. A restarted member remembers nothing, so it asks a peer once,
+tells the others. A restarted member remembers nothing, so it asks two peers,
 and doesn't use upstreams again which left before its start.
 """
 
@@ -34,9 +34,13 @@
 """Pause before the next peer is asked."""
 
 MAX_ATTEMPTS = 10
-"""Peers asked before a member goes by its own responses and the list alone.
+"""Requests before a member goes by its own responses and the list alone.
 Members of earlier versions don't answer."""
 
+LEARN_FROM_PEERS = 2
+"""Peers that a member that starts learns from; one alone may just have started
+itself."""
+
 LeavingProcess = tuple[str, int]
 """Identifier and start time of an upstream that leaves."""
 
@@ -140,20 +144,24 @@
             self._send_notice(*process, self._gossip.zone_peers())
 
     async def learn(self) -> None:
-        """Ask peers, in turns until one answers, what left before."""
+        """Ask peers, in turns until enough answer, what left before."""
         error: StepError | None = None
+        answered: set[str] = set()
         for attempt in range(MAX_ATTEMPTS):
             peers = self._gossip.zone_peers() + self._gossip.remote_peers()
             if peers:
                 peer = peers[attempt % len(peers)]
                 result = await fetch_statements(peer)
-                if isinstance(result, Ok):
+                if isinstance(result, Err):
+                    error = result.err_value
+                else:
+                    answered.add(peer.instance_id)
                     for process in result.ok_value:
                         self._apply(process, peer.host)
+                if len(answered) >= min(LEARN_FROM_PEERS, len(peers)):
                     return
-                error = result.err_value
             await trio.sleep(RETRY_INTERVAL_S)
-        if error is not None:
+        if error is not None and not answered:
             log_event(
                 _LOG,
                 "statements-not-learned",
--- a/src/hawthornmast/limits/dispatcher.py
+++ b/src/hawthornmast/limits/dispatcher.py
@@ -498,13 +498,11 @@
         wait_s
             Seconds until upstreams take requests again, infinite if unknown.
         """
-        backlog = min(wait_s, _MAX_RETRY_AFTER_S)
+        backlog_s = 0.0
         if self._slots:
-            backlog = max(
-                backlog,
-                self._waiting * self._mean_service_time / self._slots,
-            )
-        base = max(_MIN_RETRY_AFTER_S, backlog)
+            backlog_s = self._waiting * self._mean_service_time / self._slots
+        wait_s = min(wait_s, _MAX_RETRY_AFTER_S)
+        base = max(_MIN_RETRY_AFTER_S, backlog_s, wait_s)
         return Refusal(
             reason=reason,
             # Jitter keeps refused clients from retrying at the same time.
