--- a/src/hawthornmast/limits/statements.py
+++ b/src/hawthornmast/limits/statements.py
@@ -63,7 +63,7 @@
     limit
         Rate that it takes, None if it states none.
     malformed
-        The last values that could not be used.
+        The first values that could not be used.
     """
 
     started_ms: int = 0
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -295,16 +295,7 @@
                 await stop.stop()
         early = [item for item in stop.attempts if 0 < item.sent_s < 1.2]
         assert early
-        assert 200 in {item.status for item in early}
-        # A busy machine may make the usual latency longer than what is left.
-        served = [i.elapsed_s for i in stop.attempts if i.status == 200]
-        usual_s = sorted(served)[int(0.95 * len(served))]
-        assert [
-            item
-            for item in early
-            if item.status != 200
-            and item.sent_s + max(usual_s, item.elapsed_s) < GRACE_S - 0.5
-        ] == []
+        assert [item for item in early if item.status != 200] == []
 
 
 class TestUnderLoad:
