Keep signals pending until a member can handle them

SIGTERM at that time reset the connections that clients had opened at the port. A SIGHUP or a second SIGTERM during a planned stop gave a graceful one the exit status -1 or -15.

Cause: the handlers are set in the event loop, after the imports, and removed at its end. Outside of that time the signals have their default action, which ends the process. The exit status -1 without a line in the log rules out a handler that fails.

Change: the entry point blocks both signals first. They are delivered only while the receiver is open, and blocked again before it closes. The package doesn't import typing any more, which took most of the time before the entry point ran.

The two new tests of test_process.py and the new check of test_planned_stop.py failed on the code before.

--- a/src/hawthornmast/__init__.py
+++ b/src/hawthornmast/__init__.py
@@ -5,10 +5,13 @@
 """
 
 import importlib
-from typing import Any
-from typing import TYPE_CHECKING
+
+# Importing typing would take most of the time before the entry point runs.
+TYPE_CHECKING = False
 
 if TYPE_CHECKING:
+    from typing import Any
+
     from hawthornmast.audit import AuditTrail
     from hawthornmast.common import Instance
     from hawthornmast.common import Outcome
@@ -29,7 +32,7 @@
 ]
 
 
-def __getattr__(name: str) -> Any:
+def __getattr__(name: str) -> "Any":
     if name not in __all__:
         raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
     slice_name = "audit" if name == "AuditTrail" else "common"
--- a/src/hawthornmast/platform/__main__.py
+++ b/src/hawthornmast/platform/__main__.py
@@ -3,11 +3,18 @@
 import os
 import sys
 
-from hawthornmast.platform.listening import open_client_listener
+from hawthornmast.platform.signals import block_signals
 
 
 def main() -> int:
-    """Open the client port before importing and running the daemon."""
+    """Block signals and open the client port, then import and run the daemon.
+
+    Imports take most of the time of a start. Signals and connections that
+    arrive meanwhile wait for the daemon.
+    """
+    block_signals()
+    from hawthornmast.platform.listening import open_client_listener
+
     path = os.environ.get(
         "HAWTHORNMAST_CONFIG", "/etc/hawthornmast/settings.conf"
     )
--- a/src/hawthornmast/platform/process.py
+++ b/src/hawthornmast/platform/process.py
@@ -19,6 +19,8 @@
 from hawthornmast.platform.headers import PlatformClientDialect
 from hawthornmast.platform.headers import PlatformUpstreamDialect
 from hawthornmast.platform.settings import MemberSettings
+from hawthornmast.platform.signals import deliver_signals
+from hawthornmast.platform.signals import HANDLED_SIGNALS
 from hawthornmast.platform.store import PlatformStore
 
 _LOG = logging.getLogger("hawthornmast.platform")
@@ -72,9 +74,10 @@
     )
     endpoints = Endpoints(member)
     async with trio.open_nursery() as nursery:
-        with trio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGHUP
-        ) as signals:
+        with (
+            trio.open_signal_receiver(*HANDLED_SIGNALS) as signals,
+            deliver_signals(),
+        ):
             await member.start(nursery, listener=listener)
             metrics_address = (settings.options.instance.host, METRICS_PORT)
             for address, handler in (
--- a/src/hawthornmast/platform/tests/test_process.py
+++ b/src/hawthornmast/platform/tests/test_process.py
@@ -1,10 +1,13 @@
 """Tests of startup, reload and shutdown of a daemon process."""
 
+from collections.abc import AsyncIterator
+import contextlib
 import pathlib
 import signal
 import subprocess
 import sys
 
+import attrs
 import pytest
 import trio
 
@@ -70,6 +73,89 @@
             await trio.sleep(0.05)
 
 
+@attrs.frozen(kw_only=True)
+class StartingDaemon:
+    """A daemon process that has just opened its client port.
+
+    Its modules are imported only now, so that it is far from its end of the
+    start.
+    """
+
+    host: str
+    process: subprocess.Popen[str]
+    client: trio.SocketStream
+
+    async def wait_end(self) -> int:
+        """Return the exit status."""
+        with trio.fail_after(10):
+            return await trio.to_thread.run_sync(self.process.wait)
+
+
+@contextlib.asynccontextmanager
+async def open_starting_daemon(
+    nursery: trio.Nursery, folder: pathlib.Path
+) -> AsyncIterator[StartingDaemon]:
+    """Start a daemon with one back end; return as its client port opens."""
+    host = f"{allocate_loopback_prefix()}.1"
+    store = StoreStandIn()
+    await store.start(nursery)
+    backend = BackendStandIn("boxes-0")
+    await backend.start(nursery)
+    store.put("op/config", make_configuration())
+    store.put_upstream("boxes-0", "boxes", f"127.0.0.1:{backend.port}")
+    with start(write_daemon_settings(folder, host, store.port)) as process:
+        try:
+            client = await connect_early(host)
+            async with client:
+                yield StartingDaemon(host=host, process=process, client=client)
+        finally:
+            process.kill()
+
+
+async def connect_early(host: str) -> trio.SocketStream:
+    """Return a connection to the client port, as soon as it is open."""
+    with trio.fail_after(10):
+        while True:
+            try:
+                return await trio.open_tcp_stream(host, FRONT_PORT)
+            except OSError:
+                await trio.sleep(0.001)
+
+
+class TestSignalsDuringStart:
+    """Signals that arrive before the process handles them wait for it."""
+
+    async def test_sighup_does_not_end_the_process(
+        self, nursery: trio.Nursery, tmp_path: pathlib.Path
+    ) -> None:
+        # Guards against a member that ends by itself because its settings
+        # change while it starts.
+        async with open_starting_daemon(nursery, tmp_path) as daemon:
+            daemon.process.send_signal(signal.SIGHUP)
+            await wait_ready(daemon.host)
+            assert daemon.process.poll() is None
+            daemon.process.send_signal(signal.SIGTERM)
+            assert await daemon.wait_end() == 0
+            assert daemon.process.stdout is not None
+            assert "event=reloaded" in daemon.process.stdout.read()
+
+    async def test_sigterm_answers_connected_clients(
+        self, nursery: trio.Nursery, tmp_path: pathlib.Path
+    ) -> None:
+        # Guards against a stop that resets the connections which clients
+        # have opened while the member starts.
+        async with open_starting_daemon(nursery, tmp_path) as daemon:
+            await daemon.client.send_all(
+                b"GET /read/1 HTTP/1.1\r\nHost: boxes.example\r\n"
+                b"Hawthornmast-Attempt-Id: 9c41\r\n\r\n"
+            )
+            daemon.process.send_signal(signal.SIGTERM)
+            with trio.fail_after(10):
+                answer = await daemon.client.receive_some()
+            assert answer.startswith((b"HTTP/1.1 200 ", b"HTTP/1.1 503 "))
+            assert await daemon.wait_end() == 0
+
+
 class TestProcess:
     """A daemon serves, reloads and stops, and logs each step."""
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -355,3 +355,6 @@
             item.status == 200 for item in stop.attempts if runs[item.key]
         )
         assert stop.ended_s < GRACE_S
+        # Guards against a signal that is raised again at the end of the stop
+        # and replaces the exit status of a graceful one.
+        assert stop.process.returncode == 0
