Refuse a response head that is merged from two

Cause: a second copy of an earlier response comes late and breaks off within a line of its head. The status line of the next response then ends that line, and h11 parses both heads as one, with the status of the copy. Identifiers were looked up in a dict, in which the second one wins. A copy that breaks off in its reason phrase or before its identifier shows no repeated header at all.

Change: check_head refuses a status line within the reason phrase or a header value, and a repeated header of those that tie a response to its request. It runs where heads are read, for members and the fleet's own interface. The connection is closed and the request ends as unknown.

--- a/src/hawthornmast/daemon/member.py
+++ b/src/hawthornmast/daemon/member.py
@@ -35,6 +35,7 @@
 from hawthornmast.forwarding import ClientServer
 from hawthornmast.forwarding import TicketStore
 from hawthornmast.forwarding import UpstreamClient
+from hawthornmast.forwarding.evidence import REQUEST_ID_HEADER
 from hawthornmast.health import MESSAGE_TYPES as HEALTH_MESSAGES
 from hawthornmast.limits import SlotDemand
 from hawthornmast.limits import SlotGrant
@@ -179,7 +180,7 @@
                 lifetime_s=limits.ticket_ttl_ms / 1000,
                 max_records=limits.max_tickets,
             ),
-            UpstreamClient(),
+            UpstreamClient(singleton_headers=frozenset({REQUEST_ID_HEADER})),
             host=self.instance.host,
             port=self.instance.port,
             limits=ClientLimits(
--- a/src/hawthornmast/forwarding/evidence.py
+++ b/src/hawthornmast/forwarding/evidence.py
@@ -13,6 +13,9 @@
 # fraction of the entry's deadline, since clients may set short timeouts.
 _MIN_DEADLINE_FRACTION = 0.5
 
+REQUEST_ID_HEADER = b"hawthornmast-request-id"
+"""Header in which an upstream may name the request of its response."""
+
 
 def matches_request(exchange: Exchange, request: ClientRequest) -> bool:
     """Return whether the response belongs to the request.
@@ -20,7 +23,7 @@
     Upstreams may leave out the request's identifier. But on a connection on
     which a response carried one, a response without it may be a late copy.
     """
-    request_id = exchange.header(b"hawthornmast-request-id")
+    request_id = exchange.header(REQUEST_ID_HEADER)
     if request_id is None:
         return not exchange.connection_has_identifiers
     exchange.connection_has_identifiers = True
--- a/src/hawthornmast/forwarding/exchange.py
+++ b/src/hawthornmast/forwarding/exchange.py
@@ -25,6 +25,7 @@
 time."""
 
 _BODILESS_STATUSES = frozenset({204, 304})
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?: |$)")
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"\btimeout\s*=\s*(\d{1,6})\b", re.I)
 _KEEP_ALIVE_FRACTION = 0.5
 """Fraction of the announced keep-alive timeout for which to pool a connection.
@@ -270,6 +271,36 @@
     raise TimeoutError(f"response head incomplete after {_HEAD_TIMEOUT_S} s")
 
 
+def check_head(
+    head: h11.Response,
+    headers: RawHeaders,
+    singleton_headers: frozenset[bytes],
+) -> None:
+    """Refuse a head that was merged from those of two responses.
+
+    A response that breaks off within a line of its head, such as a second copy
+    of an earlier one, may be followed by the response to the request. The
+    status line of the latter then ends that line, and its headers go on the
+    head of the former, under the wrong status.
+
+    Parameters
+    ----------
+    singleton_headers
+        Names of headers that a response has at most once.
+
+    Raises
+    ------
+    h11.RemoteProtocolError
+        If the head has the signs of a merged one.
+    """
+    for text in (head.reason, *(value for _, value in headers)):
+        if b"HTTP/" in text and _STATUS_LINE.search(text):
+            raise h11.RemoteProtocolError("status line within a head")
+    names = [name for name, _ in headers if name in singleton_headers]
+    if len(set(names)) < len(names):
+        raise h11.RemoteProtocolError(f"repeated header among {names}")
+
+
 def check_framing(
     exchange: Exchange,
     head: h11.Response,
--- a/src/hawthornmast/forwarding/tests/test_faults.py
+++ b/src/hawthornmast/forwarding/tests/test_faults.py
@@ -120,6 +120,28 @@
             assert summarize(response) == (502, "unknown", "upstream-failed")
             assert b"key=" not in response.body
 
+    @pytest.mark.parametrize("extra_headers", [[], [["X-First", "a value"]]])
+    async def test_broken_off_copy_is_not_merged(self, extra_headers):
+        # Guards against the head of a second copy that is parsed with that
+        # of the response behind it, and gives a failure the status of the
+        # copy.
+        async with run_harness(1) as harness:
+            harness.runtime.retries = 0
+            (standin,) = harness.standins
+            size = copy_bytes = 0
+            while size <= copy_bytes:
+                harness.set_faults(
+                    late_copy="", status=200, extra_headers=extra_headers
+                )
+                assert (await harness.call()).status == 200
+                copy_bytes = standin.last_response_bytes()
+                harness.set_faults(
+                    late_copy="broken-off", late_copy_bytes=size, status=500
+                )
+                assert (await harness.call()).status in (500, 502), size
+                size += 1
+            assert size > 100
+
     async def test_late_response_after_client_disconnect_is_dropped(self):
         async with run_harness(1) as harness:
             await harness.call()
--- a/src/hawthornmast/forwarding/tests/test_upstream.py
+++ b/src/hawthornmast/forwarding/tests/test_upstream.py
@@ -3,9 +3,13 @@
 import socket
 
 import attrs
+import h11
+import pytest
 import trio
 
 from hawthornmast.forwarding import UpstreamClient
+from hawthornmast.forwarding.exchange import check_head
+from hawthornmast.forwarding.serialization import read_headers
 from hawthornmast.forwarding.tests.support import run_harness
 from hawthornmast.forwarding.tests.support import summarize
 
@@ -60,3 +64,33 @@
         client = UpstreamClient()
         client.close()
         assert client.open_connections() == 0
+
+
+class TestCheckHead:
+    """A merged head is refused, and one that only looks like it is not."""
+
+    @pytest.mark.parametrize(
+        ("headers", "reason"),
+        [
+            ([("Via", "HTTP/1.1 proxy")], b"OK"),
+            ([("X-Note", "spoke HTTP/1.1 today")], b""),
+            ([("Set-Cookie", "a=1"), ("Set-Cookie", "b=2")], b"OK"),
+        ],
+    )
+    def test_single_head(self, headers, reason):
+        head = h11.Response(status_code=200, headers=headers, reason=reason)
+        check_head(head, read_headers(head), frozenset({b"x-id"}))
+
+    @pytest.mark.parametrize(
+        ("headers", "reason"),
+        [
+            ([("X-Id", "aHTTP/1.1 500 Failed")], b"OK"),
+            ([("Via", "HTTP/1.1 500")], b"OK"),
+            ([], b"HTTP/1.1 500 Failed"),
+            ([("X-Id", "a"), ("X-Id", "a")], b"OK"),
+        ],
+    )
+    def test_merged_head(self, headers, reason):
+        head = h11.Response(status_code=200, headers=headers, reason=reason)
+        with pytest.raises(h11.RemoteProtocolError):
+            check_head(head, read_headers(head), frozenset({b"x-id"}))
--- a/src/hawthornmast/forwarding/upstream.py
+++ b/src/hawthornmast/forwarding/upstream.py
@@ -15,6 +15,7 @@
 from hawthornmast.forwarding import sockets
 from hawthornmast.forwarding.exchange import apply_keep_alive_timeout
 from hawthornmast.forwarding.exchange import check_framing
+from hawthornmast.forwarding.exchange import check_head
 from hawthornmast.forwarding.exchange import ConnectionPool
 from hawthornmast.forwarding.exchange import Exchange
 from hawthornmast.forwarding.exchange import Progress
@@ -41,6 +42,8 @@
     allow_close_delimited
         Accept responses without a length, which end when the connection is
         closed.
+    singleton_headers
+        Names in lower case of headers that a response has at most once.
     clock
         Monotonic time in seconds.
     """
@@ -52,12 +55,14 @@
         connect_s: float = 1.0,
         max_idle_connections: int = 16,
         allow_close_delimited: bool = False,
+        singleton_headers: frozenset[bytes] = frozenset(),
         clock: Callable[[], float] = trio.current_time,
     ) -> None:
         self._idle_s = idle_s
         self._connect_s = connect_s
         self._max_idle_connections = max_idle_connections
         self._allow_close_delimited = allow_close_delimited
+        self._singleton_headers = singleton_headers
         self._clock = clock
         self._pools: dict[str, ConnectionPool] = {}
         self._closed = False
@@ -245,6 +250,7 @@
     ) -> Exchange:
         head = await read_head(conn, progress)
         exchange = Exchange(self.return_connection, conn, head)
+        check_head(head, exchange.headers, self._singleton_headers)
         check_framing(
             exchange, head, request.method, self._allow_close_delimited
         )
--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -128,7 +128,9 @@
             self.services, gossip=self.gossip, send=self._send_leaving_notice
         )
         upstream_client = UpstreamClient(
-            connect_s=CONNECT_TIMEOUT_S, allow_close_delimited=True
+            connect_s=CONNECT_TIMEOUT_S,
+            allow_close_delimited=True,
+            singleton_headers=upstream_dialect.singleton_headers,
         )
         self.forwarder = RouteForwarder(
             self,
--- a/src/hawthornmast/gateway/upstreams.py
+++ b/src/hawthornmast/gateway/upstreams.py
@@ -70,6 +70,9 @@
 class UpstreamDialect(Protocol):
     """Headers exchanged with upstreams."""
 
+    singleton_headers: frozenset[bytes]
+    """Headers of the dialect that a response has at most once."""
+
     def build_headers(
         self, request: ClientRequest, upstream: Upstream, remaining_s: float
     ) -> RawHeaders:
--- a/src/hawthornmast/platform/headers.py
+++ b/src/hawthornmast/platform/headers.py
@@ -61,6 +61,10 @@
 class PlatformUpstreamDialect:
     """Header conventions of the platform's upstreams."""
 
+    singleton_headers = frozenset(
+        {names.ATTEMPT_ID, names.SIGNATURE, names.NOT_EXECUTED}
+    )
+
     def build_headers(
         self, request: ClientRequest, upstream: Upstream, remaining_s: float
     ) -> RawHeaders:
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -61,8 +61,10 @@
     late_copy
         When a further request arrives on a connection, send a copy of the
         connection's previous response first: ``whole``, ``half`` (its second
-        half), ``unnamed`` (without the headers that name its request) or
-        empty for none.
+        half), ``unnamed`` (without the headers that name its request),
+        ``broken-off`` (its first bytes) or empty for none.
+    late_copy_bytes
+        Number of bytes of a copy that is broken off.
     two_lengths
         Send both ``Content-Length`` and ``Transfer-Encoding``.
     informational
@@ -70,7 +72,7 @@
     status
         Status of successful responses.
     extra_headers
-        Pairs of name and value added to each response.
+        Pairs of name and value with which each response begins.
     body_bytes
         Length to which response bodies are padded.
     keyed_bytes
@@ -105,6 +107,7 @@
     stale_key: str = "another"
     crossed: bool = False
     late_copy: str = ""
+    late_copy_bytes: int = 0
     two_lengths: bool = False
     informational: bool = False
     status: int = 200
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -281,6 +281,10 @@
             stream, connection, request, status, headers, content, faults
         )
 
+    def last_response_bytes(self) -> int:
+        """Return the length of the longest last response on a connection."""
+        return max(map(len, self._last_responses.values()), default=0)
+
     async def _send_late_copy(
         self, stream: trio.SocketStream, faults: Faults
     ) -> None:
@@ -293,6 +297,8 @@
             return
         if faults.late_copy == "half":
             copy = copy[len(copy) // 2 :]
+        elif faults.late_copy == "broken-off":
+            copy = copy[: faults.late_copy_bytes]
         elif faults.late_copy == "unnamed":
             names = (self.key_header.lower(), self.echoed_header.lower())
             head, _, body = copy.partition(b"\r\n\r\n")
@@ -367,11 +373,13 @@
         faults: Faults,
     ) -> bool:
         """Send a response; return whether the connection can be reused."""
-        headers = list(headers)
+        extra_headers = [
+            (name.encode(), value.encode())
+            for name, value in faults.extra_headers
+        ]
+        headers = extra_headers + headers
         if faults.leaving:
             headers.append((b"Upstream-State", b"leaving"))
-        for name, value in faults.extra_headers:
-            headers.append((name.encode(), value.encode()))
         if faults.informational:
             await stream.send_all(b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n")
         if faults.cut or faults.old or faults.two_lengths:
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -21,6 +21,25 @@
         backend.faults = attrs.evolve(backend.faults, late_copy=copy)
 
 
+def break_copies_off(deployment: Deployment, size: int, status: int) -> None:
+    """Let all back ends send the first bytes of late copies.
+
+    Parameters
+    ----------
+    size
+        Number of bytes of a copy.
+    status
+        Status of the responses.
+    """
+    for backend in deployment.backends.values():
+        backend.faults = attrs.evolve(
+            backend.faults,
+            late_copy="broken-off",
+            late_copy_bytes=size,
+            status=status,
+        )
+
+
 def is_own(response: http.Response, attempt: str) -> bool:
     """Return whether a response carries the body of an attempt."""
     return response.body.startswith(f"key={attempt} ".encode())
@@ -58,3 +77,35 @@
                 response = await deployment.send("GET", "/read/1")
                 assert response.status == 200
                 assert is_own(response, f"attempt-{number}")
+
+
+class TestBrokenOffCopy:
+    """A copy that breaks off doesn't change what the next response says."""
+
+    @pytest.mark.parametrize(
+        ("extra_headers", "size"),
+        [
+            pytest.param([], 13, id="in-the-reason"),
+            pytest.param([], 44, id="in-the-attempt-id"),
+            pytest.param([["X-First", "a value"]], 27, id="before-the-id"),
+        ],
+    )
+    async def test_failure_is_never_a_success(
+        self, extra_headers: list[list[str]], size: int
+    ) -> None:
+        # Guards against the head of a success that is parsed with that of
+        # the failure behind it: the client would believe that its change
+        # has been made.
+        async with run_deployment(boxes=1, billing=1) as deployment:
+            for backend in deployment.backends.values():
+                backend.faults.extra_headers = extra_headers
+            served = await deployment.send(
+                "POST", "/charge/1", host="pay.example"
+            )
+            assert served.status == 200
+            break_copies_off(deployment, size, 500)
+            failed = await deployment.send(
+                "POST", "/charge/1", host="pay.example"
+            )
+            assert failed.status == 502
+            assert deployment.count_runs() == 1
