Let upstreams read long bodies at their own pace

Cause: connections to upstreams set TCP_USER_TIMEOUT to 1.5 s. On Linux that timeout also ends a connection whose peer acknowledges each window probe but has no room for more data. The new test shows ETIMEDOUT from the socket without any stop, so neither the stop nor a timeout of the member cuts it.

Change: a request of over 8 KiB, which may exceed the receive window, turns the option off. The connection goes back to the pool, with the option on, only if the kernel holds no unacknowledged bytes: otherwise the next request would wait behind the body of an earlier one.

--- a/src/hawthornmast/forwarding/upstream.py
+++ b/src/hawthornmast/forwarding/upstream.py
@@ -24,7 +24,9 @@
 from hawthornmast.forwarding.exchange import UpstreamRequest
 from hawthornmast.forwarding.serialization import write_request
 
-_TCP_USER_TIMEOUT_MS = 1500
+MAX_SHORT_REQUEST_BYTES = 8192
+"""Size up to which a request fits into the receive window of its connection,
+whether or not its upstream reads."""
 
 
 class UpstreamClient:
@@ -119,6 +121,8 @@
                 request.body,
                 has_body=request.has_body,
             )
+            if len(data) > MAX_SHORT_REQUEST_BYTES:
+                conn.await_slow_reader()
             now = self._clock()
             if now >= deadline:
                 return Err(
@@ -162,6 +166,7 @@
             or h11_connection.trailing_data[0]
             or len(pool.idle) >= self._max_idle_connections
             or self._closed
+            or not conn.finish_request()
         ):
             conn.close()
             return
@@ -226,12 +231,7 @@
         connected = False
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            # Fail early if the peer doesn't acknowledge sent data.
-            sock.setsockopt(
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                _TCP_USER_TIMEOUT_MS,
-            )
+            conn.detect_lost_path()
             with trio.move_on_after(self._connect_s):
                 await sockets.connect(sock, upstream.host, upstream.port)
                 connected = True
