Show that endless responses don't exhaust a member's memory

Cause: operators of a similar system report a back end that sent bytes without end, in a head or in a body, until its caller ran out of memory.

Change: tests of a member as a process, with back ends that send 64 KiB pieces as fast as they can in six places of a response, to 32 clients that read nothing. The peak of its memory must stay below that of the smallest machine.

--- a/standins/faults.py
+++ b/standins/faults.py
@@ -45,10 +45,13 @@
         What is sent without end, until the connection is closed, in place of
         a response: ``header`` (one header line), ``informational``
         (responses with status 103), ``unsigned`` (a body after a head that no
-        execution produced), ``body`` (a body after the head of the response)
-        or empty for none of these.
+        execution produced), ``body`` (a body after the head of the response),
+        ``chunk-size`` (the line that begins a chunk of it), ``trailer`` (a
+        header after it) or empty for none of these.
     endless_pause_s
-        Seconds between two pieces of 1 KiB of an endless response.
+        Seconds between two pieces of an endless response.
+    endless_piece_bytes
+        Size of such a piece.
     stale_refusal
         Run requests, but send a refusal of another request right away, as
         not run.
@@ -102,6 +105,7 @@
     late_s: float = 0.0
     endless: str = ""
     endless_pause_s: float = 0.0
+    endless_piece_bytes: int = 1024
     stale_refusal: bool = False
     stale_status: int = 503
     stale_key: str = "another"
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -19,7 +19,11 @@
 
 _log = logging.getLogger(__name__)
 _HEALTH_PATHS = {b"/health", b"/load"}
-_ENDLESS_PIECE_BYTES = 1024
+_ENDLESS_CHUNKED = {
+    "chunk-size": b"1;",
+    "trailer": b"1\r\nx\r\n0\r\nX-Endless: ",
+}
+"""Begin of the body of endless responses in chunked encoding."""
 
 
 @attrs.define(kw_only=True)
@@ -438,17 +442,20 @@
 ) -> None:
     """Send bytes without end, until the peer closes the connection."""
     lines = [b"HTTP/1.1 %d Answer" % status]
-    piece = b"x" * _ENDLESS_PIECE_BYTES
+    piece = b"x" * faults.endless_piece_bytes
     if faults.endless == "header":
         head = b"\r\n".join([*lines, b"X-Endless: "])
     elif faults.endless == "informational":
         head = b""
         hint = b"HTTP/1.1 103 Early Hints\r\n\r\n"
-        piece = hint * (_ENDLESS_PIECE_BYTES // len(hint))
+        piece = hint * (faults.endless_piece_bytes // len(hint))
     else:
-        if faults.endless == "body":
+        if faults.endless != "unsigned":
             lines += [name + b": " + value for name, value in headers]
+        if faults.endless in _ENDLESS_CHUNKED:
+            lines.append(b"Transfer-Encoding: chunked")
         head = b"\r\n".join(lines) + b"\r\n\r\n"
+        head += _ENDLESS_CHUNKED.get(faults.endless, b"")
     await stream.send_all(head)
     while True:
         await stream.send_all(piece)
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -1,5 +1,9 @@
 """Tests of upstreams that send bytes without end in place of a response."""
 
+import contextlib
+import pathlib
+
+import attrs
 import pytest
 from result import UnwrapError
 import trio
@@ -7,6 +11,7 @@
 from hawthornmast.health.belief import DEFAULT_MODEL
 from standins.deployment import BackendStandIn
 from standins.deployment import FRONT_PORT
+from tests.test_planned_stop import run_daemon
 from tests.test_platform_path import run_deployment
 from tests.test_platform_path import set_faults
 
@@ -142,3 +147,65 @@
             )
             received = b"".join([chunk async for chunk in stream])
             assert received.startswith(b"HTTP/1.1 502 ")
+
+
+MEMORY_LIMIT_KIB = 200 * 1024
+"""Memory of the smallest machines."""
+
+PIECE_BYTES = 65_536
+"""Size of a piece where an upstream sends as fast as it can."""
+
+REQUESTS = 32
+"""Requests at one time."""
+
+
+def read_peak_memory_kib(process_id: int) -> int:
+    """Return the largest resident memory that a process has had."""
+    status = pathlib.Path(f"/proc/{process_id}/status").read_text()
+    (line,) = (
+        line for line in status.splitlines() if line.startswith("VmHWM:")
+    )
+    return int(line.split()[1])
+
+
+async def send_and_read_nothing(host: str, target: str) -> None:
+    """Send a request and wait until its time is over."""
+    stream = await trio.open_tcp_stream(host, FRONT_PORT)
+    async with stream:
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(
+                f"POST {target} HTTP/1.1\r\nHost: pay.example\r\n"
+                f"Hawthornmast-Attempt-Id: {target}\r\n"
+                "Hawthornmast-Request-Deadline: 2000\r\n"
+                "Content-Length: 0\r\n\r\n".encode()
+            )
+            await trio.sleep(2.5)
+
+
+class TestMemory:
+    """A member doesn't keep what an upstream sends without end.
+
+    Guards against a process that runs out of memory and ends the requests of
+    other clients with it.
+    """
+
+    @pytest.mark.parametrize(
+        "endless", [*NO_RESPONSE, "body", "chunk-size", "trailer"]
+    )
+    async def test_process_stays_within_the_memory_of_its_machine(
+        self, tmp_path: pathlib.Path, endless: str
+    ) -> None:
+        async with run_daemon(tmp_path, service_s=0.0) as stop:
+            stop.backend.faults = attrs.evolve(
+                stop.backend.faults,
+                endless=endless,
+                endless_piece_bytes=PIECE_BYTES,
+            )
+            async with trio.open_nursery() as nursery:
+                for number in range(REQUESTS):
+                    nursery.start_soon(
+                        send_and_read_nothing, stop.host, f"/charge/{number}"
+                    )
+            assert stop.backend.requests
+            assert stop.process.poll() is None
+            assert read_peak_memory_kib(stop.process.pid) < MEMORY_LIMIT_KIB
