Split the faulty responses from the upstream stand-in

Change: standins/responses.py has the bytes of faulty responses; the set-up of the process tests is a function. No behaviour changes.

--- a/src/hawthornmast/platform/tests/test_process.py
+++ b/src/hawthornmast/platform/tests/test_process.py
@@ -38,6 +38,17 @@
     return path
 
 
+async def start_platform(nursery: trio.Nursery) -> StoreStandIn:
+    """Start a store with a configuration and one back end."""
+    store = StoreStandIn()
+    await store.start(nursery)
+    backend = BackendStandIn("boxes-0")
+    await backend.start(nursery)
+    store.put("op/config", make_configuration())
+    store.put_upstream("boxes-0", "boxes", f"127.0.0.1:{backend.port}")
+    return store
+
+
 def start(path: pathlib.Path) -> subprocess.Popen[str]:
     """Start a daemon."""
     return subprocess.Popen(
@@ -77,8 +88,7 @@
 class StartingDaemon:
     """A daemon process that has just opened its client port.
 
-    Its modules are imported only now, so that it is far from its end of the
-    start.
+    It imports most of its modules after that.
     """
 
     host: str
@@ -97,12 +107,7 @@
 ) -> AsyncIterator[StartingDaemon]:
     """Start a daemon with one back end; return as its client port opens."""
     host = f"{allocate_loopback_prefix()}.1"
-    store = StoreStandIn()
-    await store.start(nursery)
-    backend = BackendStandIn("boxes-0")
-    await backend.start(nursery)
-    store.put("op/config", make_configuration())
-    store.put_upstream("boxes-0", "boxes", f"127.0.0.1:{backend.port}")
+    store = await start_platform(nursery)
     with start(write_daemon_settings(folder, host, store.port)) as process:
         try:
             client = await connect_early(host)
@@ -164,12 +169,7 @@
         self, nursery: trio.Nursery, tmp_path: pathlib.Path
     ) -> None:
         host = f"{allocate_loopback_prefix()}.1"
-        store = StoreStandIn()
-        await store.start(nursery)
-        backend = BackendStandIn("boxes-0")
-        await backend.start(nursery)
-        store.put("op/config", make_configuration())
-        store.put_upstream("boxes-0", "boxes", f"127.0.0.1:{backend.port}")
+        store = await start_platform(nursery)
         path = write_daemon_settings(tmp_path, host, store.port)
         process = start(path)
         try:
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -16,14 +16,12 @@
 from hawthornmast import http
 from standins.bodies import make_body
 from standins.faults import Faults
+from standins.responses import format_faulty_response
+from standins.responses import make_late_copy
+from standins.responses import send_endless
 
 _log = logging.getLogger(__name__)
 _HEALTH_PATHS = {b"/health", b"/load"}
-_ENDLESS_CHUNKED = {
-    "chunk-size": b"1;",
-    "trailer": b"1\r\nx\r\n0\r\nX-Endless: ",
-}
-"""Begin of the body of endless responses in chunked encoding."""
 
 
 @attrs.define(kw_only=True)
@@ -279,7 +277,7 @@
         if faults.crossed and previous is not None:
             headers, content = previous
         if faults.endless:
-            await _send_endless(stream, status, headers, faults)
+            await send_endless(stream, status, headers, faults)
             return False
         return await self._send(
             stream, connection, request, status, headers, content, faults
@@ -299,19 +297,8 @@
         copy = self._last_responses.get(stream, b"")
         if not copy or not faults.late_copy:
             return
-        if faults.late_copy == "half":
-            copy = copy[len(copy) // 2 :]
-        elif faults.late_copy == "broken-off":
-            copy = copy[: faults.late_copy_bytes]
-        elif faults.late_copy == "unnamed":
-            names = (self.key_header.lower(), self.echoed_header.lower())
-            head, _, body = copy.partition(b"\r\n\r\n")
-            lines = [
-                line
-                for line in head.split(b"\r\n")
-                if line.partition(b":")[0].lower() not in names
-            ]
-            copy = b"\r\n".join(lines) + b"\r\n\r\n" + body
+        names = (self.key_header, self.echoed_header)
+        copy = make_late_copy(copy, faults, names)
         await stream.send_all(copy)
 
     def reject(
@@ -388,7 +375,7 @@
             await stream.send_all(b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n")
         if faults.cut or faults.old or faults.two_lengths:
             await stream.send_all(
-                _format_faulty_response(status, headers, content, faults)
+                format_faulty_response(status, headers, content, faults)
             )
             return False
         if not faults.chunked:
@@ -408,60 +395,6 @@
         )
 
 
-def _format_faulty_response(
-    status: int,
-    headers: list[tuple[bytes, bytes]],
-    content: bytes,
-    faults: Faults,
-) -> bytes:
-    """Return a response with truncated, HTTP/1.0 or ambiguous framing."""
-    version = b"1.0" if faults.old else b"1.1"
-    lines = [b"HTTP/%s %d Answer" % (version, status)]
-    lines += [name + b": " + value for name, value in headers]
-    body = content
-    if faults.cut == "short":
-        lines.append(b"Content-Length: %d" % (len(content) + 10))
-    elif faults.cut == "chunked":
-        lines.append(b"Transfer-Encoding: chunked")
-        body = b"%x\r\n%s\r\n" % (len(content), content)
-    elif faults.cut != "close":
-        lines.append(b"Content-Length: %d" % len(content))
-    if faults.two_lengths:
-        lines.append(b"Transfer-Encoding: chunked")
-        body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(content), content)
-    response = b"\r\n".join(lines) + b"\r\n\r\n" + body
-    # 30 bytes end within the head.
-    return response[:30] if faults.cut == "head" else response
-
-
-async def _send_endless(
-    stream: trio.SocketStream,
-    status: int,
-    headers: list[tuple[bytes, bytes]],
-    faults: Faults,
-) -> None:
-    """Send bytes without end, until the peer closes the connection."""
-    lines = [b"HTTP/1.1 %d Answer" % status]
-    piece = b"x" * faults.endless_piece_bytes
-    if faults.endless == "header":
-        head = b"\r\n".join([*lines, b"X-Endless: "])
-    elif faults.endless == "informational":
-        head = b""
-        hint = b"HTTP/1.1 103 Early Hints\r\n\r\n"
-        piece = hint * (faults.endless_piece_bytes // len(hint))
-    else:
-        if faults.endless != "unsigned":
-            lines += [name + b": " + value for name, value in headers]
-        if faults.endless in _ENDLESS_CHUNKED:
-            lines.append(b"Transfer-Encoding: chunked")
-        head = b"\r\n".join(lines) + b"\r\n\r\n"
-        head += _ENDLESS_CHUNKED.get(faults.endless, b"")
-    await stream.send_all(head)
-    while True:
-        await stream.send_all(piece)
-        await trio.sleep(faults.endless_pause_s)
-
-
 async def run_process(options: argparse.Namespace) -> None:
     """Serve on both ports until the process ends."""
     faults = Faults(
