Add a control for work that is silent for a while

Change: a member that gives up after 0.2 s in the same deployment.

Result: it answers 502 in place of 200, and runs the request that may be repeated twice, so that the check would fail for it. Members that stand still and members that join have no control yet.

--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -6,15 +6,24 @@
 
 import pathlib
 import signal
+from typing import Any
 
 import attrs
 import pytest
+from result import Err
+from result import Result
 import trio
 
+from hawthornmast.common import StepError
+from hawthornmast.forwarding import UpstreamClient
+from hawthornmast.forwarding.exchange import Exchange
 from tests.test_planned_stop import run_daemon
 from tests.test_platform_path import run_deployment
 from tests.test_platform_path import set_faults
 
+IMPATIENCE_S = 0.2
+"""Time after which the member of the control gives up."""
+
 
 class TestSilentUpstream:
     """A response that is late, but in time, is waited for and delivered."""
@@ -34,6 +43,37 @@
             assert deployment.count_runs() == 1
 
 
+class TestSilenceControl:
+    """A member that gives up silent work fails the check above."""
+
+    @pytest.mark.parametrize(
+        ("target", "host", "runs"),
+        [("/read/1", "boxes.example", 2), ("/charge/1", "pay.example", 1)],
+    )
+    async def test_impatient_member(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+        target: str,
+        host: str,
+        runs: int,
+    ) -> None:
+        send = UpstreamClient.send
+
+        async def send_impatiently(
+            *arguments: Any, **options: Any
+        ) -> Result[Exchange, StepError]:
+            with trio.move_on_after(IMPATIENCE_S):
+                return await send(*arguments, **options)
+            return Err(StepError(step="read", detail="no patience"))
+
+        monkeypatch.setattr(UpstreamClient, "send", send_impatiently)
+        async with run_deployment(boxes=3, billing=3) as deployment:
+            set_faults(deployment, late_s=0.5)
+            response = await deployment.send("POST", target, host=host)
+            assert response.status == 502
+            assert deployment.count_runs() == runs
+
+
 class TestFrozenMember:
     """A member that stands still neither repeats nor loses work."""
 
