Break late copies off at each byte for members too

Cause: the test of a member broke copies off at three places only, since a member avoids an upstream that has failed and each length took a second. A new test of ages allowed 1.9 s where 2.0 s are due.

Change: copies of each length go through the member's upstream client and its dialect, without its choice of upstreams; the age must be 2.0 s.

--- a/src/hawthornmast/gateway/tests/test_sources.py
+++ b/src/hawthornmast/gateway/tests/test_sources.py
@@ -203,8 +203,8 @@
                 reader.synchronizer.receive(summary, peer, nursery)
                 await trio.sleep(1.0)
         own = reader.synchronizer.summarize()
-        assert own.configuration_age_s >= 1.9
-        assert own.listing_age_s >= 1.9
+        assert own.configuration_age_s == pytest.approx(2.0)
+        assert own.listing_age_s == pytest.approx(2.0)
 
     async def test_summary_of_an_earlier_version_confirms(
         self, autojump_clock: trio.testing.MockClock, reader: Reader
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -6,8 +6,20 @@
 
 import attrs
 import pytest
+from result import Err
+from result import Ok
+import trio
 
 from hawthornmast import http
+from hawthornmast.common import StepError
+from hawthornmast.common import Upstream
+from hawthornmast.forwarding import UpstreamClient
+from hawthornmast.forwarding.exchange import Exchange
+from hawthornmast.forwarding.exchange import Progress
+from hawthornmast.forwarding.exchange import UpstreamRequest
+from hawthornmast.forwarding.messages import ClientRequest
+from hawthornmast.platform.headers import PlatformUpstreamDialect
+from standins.deployment import BackendStandIn
 from tests.deployment import BOUNDS
 from tests.deployment import Deployment
 from tests.test_platform_path import run_deployment
@@ -40,6 +52,53 @@
         )
 
 
+async def send_attempt(
+    client: UpstreamClient, backend: BackendStandIn, attempt: str
+) -> tuple[int, bool]:
+    """Send an attempt as a member does, without its choice of an upstream.
+
+    Returns the status, 0 if there is no response, and whether a member would
+    pass the response on.
+    """
+    dialect = PlatformUpstreamDialect()
+    upstream = Upstream(
+        upstream_id=backend.instance,
+        zone="zone-a",
+        host="127.0.0.1",
+        port=backend.port,
+        slots=4,
+    )
+    request = ClientRequest(
+        request_id=attempt,
+        method="POST",
+        target="/charge/1",
+        service="pay.example",
+        headers=[(b"hawthornmast-attempt-id", attempt.encode())],
+    )
+    progress = Progress()
+    result: Ok[Exchange] | Err[StepError] = await client.send(
+        upstream,
+        UpstreamRequest(
+            method=b"POST",
+            target=b"/charge/1",
+            headers=dialect.build_headers(request, upstream, 1.0),
+            has_body=True,
+        ),
+        progress,
+        deadline=trio.current_time() + 1.0,
+        new_connection=False,
+        buffer_bytes=1000,
+    )
+    if isinstance(result, Err):
+        return 0, False
+    exchange = result.ok_value
+    assessment = dialect.assess_response(exchange, request)
+    if progress.reused:
+        assessment = assessment.on_reused_connection()
+    exchange.release(reusable=assessment.valid)
+    return exchange.status, assessment.valid
+
+
 def is_own(response: http.Response, attempt: str) -> bool:
     """Return whether a response carries the body of an attempt."""
     return response.body.startswith(f"key={attempt} ".encode())
@@ -109,3 +168,35 @@
             )
             assert failed.status == 502
             assert deployment.count_runs() == 1
+
+    @pytest.mark.parametrize("extra_headers", [[], [["X-First", "a value"]]])
+    async def test_each_length_of_the_copy(
+        self, extra_headers: list[list[str]]
+    ) -> None:
+        # Without a member's choice of upstreams, which avoids one that has
+        # failed and would make each length take a second.
+        async with trio.open_nursery() as nursery:
+            backend = BackendStandIn("billing-0")
+            backend.faults.extra_headers = extra_headers
+            await backend.start(nursery)
+            client = UpstreamClient(
+                allow_close_delimited=True,
+                singleton_headers=PlatformUpstreamDialect.singleton_headers,
+            )
+            size = copy_bytes = 0
+            while size <= copy_bytes:
+                backend.faults.status, backend.faults.late_copy = 200, ""
+                served = await send_attempt(client, backend, f"first-{size}")
+                assert served == (200, True)
+                copy_bytes = backend.last_response_bytes()
+                backend.faults.status = 500
+                backend.faults.late_copy = "broken-off"
+                backend.faults.late_copy_bytes = size
+                status, passed_on = await send_attempt(
+                    client, backend, f"second-{size}"
+                )
+                assert status == 500 or not passed_on, size
+                size += 1
+            assert size > 200
+            client.close()
+            nursery.cancel_scope.cancel()
