Authorize requests by the keys of teams

Change: teams with key digests, rank and rate in the configuration and in what members exchange; 401 for a missing, malformed, repeated, unknown or withdrawn key unless the route is public; upstreams get the team's name in place of the key. Keys are checked again before each send. Route type download is idempotent. A configuration without teams is encoded as before.

--- a/src/hawthornmast/forwarding/messages.py
+++ b/src/hawthornmast/forwarding/messages.py
@@ -52,6 +52,14 @@
         The relay signature of another daemon was verified.
     received_at
         Monotonic time at which the head was parsed.
+    key_digest
+        Digest of the client's key, None without a usable key. The key itself
+        is only in ``headers``.
+    key_error
+        Why there is no usable key.
+    team
+        Name of the team that holds the key, empty if there is none. None if
+        requests need no keys, so that a key is an ordinary header.
     """
 
     request_id: str
@@ -68,6 +76,9 @@
     relayed: bool = False
     client: str = ""
     received_at: float = 0.0
+    key_digest: bytes | None = None
+    key_error: str = ""
+    team: str | None = None
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/src/hawthornmast/gateway/attempts.py
+++ b/src/hawthornmast/gateway/attempts.py
@@ -15,6 +15,7 @@
 from hawthornmast.gateway.services import ServiceState
 from hawthornmast.health.belief import Observation
 from hawthornmast.routing import Route
+from hawthornmast.routing import Team
 
 LATE_FAILURE_FRACTION = 0.5
 """Fraction of a route's mean latency after which a failure is attributed to
@@ -36,6 +37,7 @@
     trace: Trace
     deliver: Deliver
     deadline: float
+    team: Team | None = None
     excluded_ids: set[str] = attrs.Factory(set)
     attempted_ids: set[str] = attrs.Factory(set)
     failed_ids: set[str] = attrs.Factory(set)
--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -8,6 +8,7 @@
 import math
 from typing import Protocol
 
+import attrs
 from result import Err
 from result import Ok
 from result import Result
@@ -33,11 +34,13 @@
 from hawthornmast.gateway.outcomes import MIN_RETRY_AFTER_S
 from hawthornmast.gateway.services import ServiceRegistry
 from hawthornmast.gateway.stopping import StopSchedule
+from hawthornmast.gateway.teams import find_request_team
 from hawthornmast.gateway.upstreams import ResponseAssessment
 from hawthornmast.gateway.upstreams import UpstreamDialect
 from hawthornmast.routing import Configuration
 from hawthornmast.routing import Route
 from hawthornmast.routing import SplitBalancer
+from hawthornmast.routing import Team
 
 RESPONSE_MARGIN_S = 0.05
 """Part of a client's timeout that is reserved for sending the response."""
@@ -56,6 +59,22 @@
 be repeated."""
 
 
+@attrs.frozen(kw_only=True)
+class _AuthorizedRoute:
+    """Route and team of a request, by the configuration of a version."""
+
+    route: Route
+    team: Team | None
+    version: int
+
+
+def _refuse_key(reason: str) -> ClientResponse:
+    """Return the refusal of a request without a valid key."""
+    return build_error_response(
+        401, reason, headers=[(b"www-authenticate", b"Bearer")]
+    )
+
+
 class ConfigurationProvider(Protocol):
     """Access to the configuration in force."""
 
@@ -115,12 +134,12 @@
 
     def check(self, request: ClientRequest) -> ClientResponse | None:
         """Return a refusal that can be decided without the request's body."""
-        return self._find_route(request).err()
+        return self._authorize(request).err()
 
-    def _find_route(
+    def _authorize(
         self, request: ClientRequest
-    ) -> Result[tuple[Route, int], ClientResponse]:
-        """Return the route of a request and the configuration version."""
+    ) -> Result[_AuthorizedRoute, ClientResponse]:
+        """Return the route of a request and the team whose key it has."""
         configuration = self._provider.configuration
         if configuration is None:
             return Err(
@@ -134,7 +153,18 @@
             return Err(
                 build_error_response(404, "no-route", detail=request.service)
             )
-        return Ok((route, configuration.version))
+        found = find_request_team(configuration, route, request)
+        if isinstance(found, Err):
+            return Err(_refuse_key(found.err_value))
+        if configuration.teams is not None:
+            request.team = found.ok_value.name if found.ok_value else ""
+        return Ok(
+            _AuthorizedRoute(
+                route=route,
+                team=found.ok_value,
+                version=configuration.version,
+            )
+        )
 
     async def run(
         self,
@@ -144,15 +174,19 @@
         deliver: Deliver,
     ) -> ClientResponse:
         """Forward a request and return its answer."""
-        result = self._find_route(request)
+        result = self._authorize(request)
         if isinstance(result, Err):
             return result.err_value
-        route, trace.revision = result.ok_value
+        route, team = result.ok_value.route, result.ok_value.team
+        trace.revision = result.ok_value.version
+        rank = route.rank
+        if team is not None and team.rank is not None:
+            rank = team.rank
         service = self._splits.select(route)
         # The trace has the fields of ``hawthornmast.daemon``: here, its
         # revision is the configuration version, its entry the route and its
         # owner the service that was selected.
-        trace.entry, trace.rank = route.name, route.rank.label
+        trace.entry, trace.rank = route.name, rank.label
         trace.owner = service
         state = self._services.find(service)
         if state is None:
@@ -163,7 +197,8 @@
         context = RequestContext(
             request=request,
             route=route,
-            entry=self._services.entry_for(route),
+            entry=self._services.entry_for(route, rank),
+            team=team,
             state=state,
             trace=trace,
             deliver=deliver,
@@ -224,6 +259,10 @@
         if not context.attempted_ids and not self._may_start(context):
             admission.release()
             return self._refuse_stopping(context)
+        withdrawn = self._refuse_withdrawn_key(context)
+        if withdrawn is not None:
+            admission.release()
+            return withdrawn
         upstream = admission.upstream
         failure_probability = context.state.pool.failure_probability(
             upstream.upstream_id
@@ -279,6 +318,27 @@
             )
             admission.release()
 
+    def _refuse_withdrawn_key(
+        self, context: RequestContext
+    ) -> ClientResponse | None:
+        """Refuse a request whose key was withdrawn while it waited.
+
+        A request that may have run gets the answer that it would have had.
+        """
+        configuration = self._provider.configuration
+        if (
+            configuration is None
+            or configuration.version == context.trace.revision
+        ):
+            return None
+        found = find_request_team(
+            configuration, context.route, context.request
+        )
+        if isinstance(found, Ok):
+            return None
+        context.trace.steps.append("refused:key-withdrawn")
+        return context.last_answer or _refuse_key("key-withdrawn")
+
     def _may_start(self, context: RequestContext) -> bool:
         """Return whether a stop, if any, leaves time for a request."""
         if self.stop is None:
--- a/src/hawthornmast/gateway/services.py
+++ b/src/hawthornmast/gateway/services.py
@@ -18,6 +18,7 @@
 from hawthornmast.audit import log_event
 from hawthornmast.catalogue import Entry
 from hawthornmast.catalogue import Service
+from hawthornmast.common import Rank
 from hawthornmast.common import Upstream
 from hawthornmast.gateway.coverage import CoverageLog
 from hawthornmast.gateway.options import Bounds
@@ -340,10 +341,22 @@
         """Return the state of a service, None if it is unknown."""
         return self._states.get(name)
 
-    def entry_for(self, route: Route) -> Entry:
-        """Return the entry of a route."""
+    def entry_for(self, route: Route, rank: Rank | None = None) -> Entry:
+        """Return the entry of a route.
+
+        Parameters
+        ----------
+        rank
+            Priority class that replaces that of the route, if any. Requests
+            of the same route and of different ranks wait in separate queues.
+        """
         entry = self._entries.get(route.name)
-        return entry if entry is not None else make_catalogue_entry(route)
+        if entry is None:
+            entry = make_catalogue_entry(route)
+        if rank is None or rank is entry.rank:
+            return entry
+        name = f"{route.name} {rank.label}"
+        return attrs.evolve(entry, name=name, rank=rank)
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Apply a new configuration."""
--- a/src/hawthornmast/platform/headers.py
+++ b/src/hawthornmast/platform/headers.py
@@ -13,8 +13,11 @@
 from hawthornmast.gateway.upstreams import ResponseAssessment
 from hawthornmast.limits import UpstreamStatement
 from hawthornmast.platform import names
+from hawthornmast.routing import digest_key
 
 _RESERVED_HEADERS = frozenset({names.DEADLINE, names.EXPECTED_INSTANCE})
+_KEY_HEADERS = frozenset({names.AUTHORIZATION, names.TEAM})
+_KEY = re.compile(rb"bearer +([!-~]{1,512})", re.IGNORECASE)
 _MISDIRECTED_REQUEST = 421
 _SERVICE_UNAVAILABLE = 503
 _DECIMAL = re.compile(rb"[0-9]{1,18}(?:\.[0-9]{1,9})?")
@@ -40,6 +43,7 @@
         request.request_id = values.get(names.ATTEMPT_ID, b"").decode(
             "latin-1"
         )
+        _parse_key(request, values.get(names.AUTHORIZATION))
 
     def build_headers(
         self, response: ClientResponse, request_id: str
@@ -58,6 +62,24 @@
         return pairs
 
 
+def _parse_key(request: ClientRequest, value: bytes | None) -> None:
+    """Set the digest of the key, or why there is none.
+
+    Whether the request needs a key depends on the configuration.
+    """
+    if value is None:
+        request.key_error = "key-missing"
+        return
+    match = _KEY.fullmatch(value)
+    count = sum(name == names.AUTHORIZATION for name, _ in request.headers)
+    if match is None:
+        request.key_error = "key-malformed"
+    elif count > 1:
+        request.key_error = "key-repeated"
+    else:
+        request.key_digest = digest_key(match[1])
+
+
 class PlatformUpstreamDialect:
     """Header conventions of the platform's upstreams."""
 
@@ -68,13 +90,23 @@
     def build_headers(
         self, request: ClientRequest, upstream: Upstream, remaining_s: float
     ) -> RawHeaders:
-        """Return the headers of a request to an upstream."""
-        return [
+        """Return the headers of a request to an upstream.
+
+        If requests need keys, the upstream gets the name of the team in place
+        of the key, whatever the client states as its team.
+        """
+        reserved = _RESERVED_HEADERS
+        if request.team is not None:
+            reserved |= _KEY_HEADERS
+        headers = [
             (b"host", request.service.encode()),
-            *filter_headers(request.headers, reserved=_RESERVED_HEADERS),
+            *filter_headers(request.headers, reserved=reserved),
             (names.DEADLINE, b"%d" % max(1, int(remaining_s * 1000))),
             (names.EXPECTED_INSTANCE, upstream.upstream_id.encode()),
         ]
+        if request.team:
+            headers.append((names.TEAM, request.team.encode("ascii")))
+        return headers
 
     def filter_response_headers(self, exchange: Exchange) -> RawHeaders:
         """Return the headers of a response without hop-by-hop headers."""
--- a/src/hawthornmast/platform/names.py
+++ b/src/hawthornmast/platform/names.py
@@ -14,6 +14,10 @@
 # In a 503: seconds for which the sender takes no requests from this daemon.
 RETRY_AFTER = b"retry-after"
 NOT_EXECUTED = b"hawthornmast-not-executed"
+# ``Bearer KEY`` in requests of clients.
+AUTHORIZATION = b"authorization"
+# Name of the team that holds the client's key, in requests to upstreams.
+TEAM = b"hawthornmast-tenant"
 
 # Endpoints.
 RESOLVE = "/hawthornmast/resolve"
--- a/src/hawthornmast/platform/tests/test_headers.py
+++ b/src/hawthornmast/platform/tests/test_headers.py
@@ -11,6 +11,7 @@
 from hawthornmast.gateway.upstreams import ResponseAssessment
 from hawthornmast.platform.headers import PlatformClientDialect
 from hawthornmast.platform.headers import PlatformUpstreamDialect
+from hawthornmast.routing import digest_key
 
 UPSTREAM = Upstream(
     upstream_id="u1", zone="a", host="127.0.0.1", port=1, slots=4
@@ -34,6 +35,69 @@
     return request
 
 
+class TestKeys:
+    """Guards against keys that reach upstreams, and forged teams."""
+
+    def build(self, request: ClientRequest) -> list[tuple[bytes, bytes]]:
+        """Return the headers sent to an upstream."""
+        return PlatformUpstreamDialect().build_headers(request, UPSTREAM, 1.0)
+
+    def test_key_is_known_by_its_digest_only(self) -> None:
+        request = make_request(authorization="Bearer k1")
+        assert request.key_digest == digest_key(b"k1")
+        assert request.key_error == ""
+
+    @pytest.mark.parametrize(
+        ("value", "error"),
+        [
+            ("Basic k1", "key-malformed"),
+            ("Bearer", "key-malformed"),
+            ("Bearer ", "key-malformed"),
+            ("Bearer k1 k2", "key-malformed"),
+            ("Bearer k1,k2 ", "key-malformed"),
+            ("k1", "key-malformed"),
+        ],
+    )
+    def test_malformed_key(self, value: str, error: str) -> None:
+        request = make_request(authorization=value)
+        assert (request.key_digest, request.key_error) == (None, error)
+
+    def test_scheme_in_any_case(self) -> None:
+        request = make_request(authorization="bearer k1")
+        assert request.key_digest == digest_key(b"k1")
+
+    def test_missing_key(self) -> None:
+        assert make_request().key_error == "key-missing"
+
+    def test_repeated_key(self) -> None:
+        request = make_request()
+        request.headers = [(b"authorization", b"Bearer k1")] * 2
+        PlatformClientDialect().parse_headers(request, dict(request.headers))
+        assert (request.key_digest, request.key_error) == (
+            None,
+            "key-repeated",
+        )
+
+    @pytest.mark.parametrize("team", ["packers", ""])
+    def test_upstream_gets_the_team_and_not_the_key(self, team: str) -> None:
+        request = make_request(
+            authorization="Bearer k1",
+            hawthornmast_tenant="forged",
+            connection="x-hop, hawthornmast-tenant",
+        )
+        request.headers.append((b"hawthornmast-tenant", b"forged"))
+        request.team = team
+        headers = self.build(request)
+        assert b"authorization" not in dict(headers)
+        assert [v for n, v in headers if n == b"hawthornmast-tenant"] == (
+            [team.encode()] if team else []
+        )
+
+    def test_without_teams_the_headers_are_passed_on(self) -> None:
+        request = make_request(authorization="Bearer k1")
+        assert dict(self.build(request))[b"authorization"] == b"Bearer k1"
+
+
 @attrs.define
 class ResponseStub:
     """Status and headers of an exchange."""
--- a/src/hawthornmast/platform/tests/test_names.py
+++ b/src/hawthornmast/platform/tests/test_names.py
@@ -11,7 +11,8 @@
     r"|TrafficSplit|TargetLatency|MaxAttempts|HealthPath|MaxConns"
     r"|StoreRevision|AllowStale|WarmupLeft"
     r"|Attempt-Id|Request-Deadline|Response-Signature|Expected-Instance"
-    r"|Not-Executed|RetryBudgetRatio|BudgetSlack|InternalPorts",
+    r"|Not-Executed|RetryBudgetRatio|BudgetSlack|InternalPorts"
+    r"|Tenant|ApiKeys|RatePerS|QuotaWindow|QuotaOvershoot|Store-Era",
     re.IGNORECASE,
 )
 
--- a/src/hawthornmast/platform/tests/test_values.py
+++ b/src/hawthornmast/platform/tests/test_values.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import math
 from typing import Any
 
 import pytest
@@ -11,7 +12,9 @@
 from hawthornmast.common import Upstream
 from hawthornmast.membership.entries import ListedUpstream
 from hawthornmast.platform import values
+from hawthornmast.routing import digest_key
 from hawthornmast.routing import Target
+from hawthornmast.routing import Team
 from standins.deployment import make_configuration
 
 
@@ -89,6 +92,89 @@
             values.decode_configuration(value)
 
 
+def make_team_configuration(**changes: Any) -> dict[str, Any]:
+    """Return a configuration with one team."""
+    team = {
+        "Name": "sese880",
+        "ApiKeys": ["gjy5rcpihhacruddedev", "3nax7u27gxprymh2rryt"],
+        "Priority": 0,
+        "RatePerS": 92,
+        "Burst": 46,
+    }
+    return {**make_configuration(), "Tenants": [{**team, **changes}]}
+
+
+class TestDecodeTeams:
+    """Guards against requests that are let in, or kept out, by mistake."""
+
+    def test_team(self) -> None:
+        decoded = values.decode_configuration(make_team_configuration())
+        team = decoded.find_team(digest_key(b"3nax7u27gxprymh2rryt"))
+        assert team is not None
+        assert (team.name, team.rank) == ("sese880", Rank.URGENT)
+        assert (team.rate_per_s, team.burst) == (92.0, 46.0)
+
+    def test_optional_fields(self) -> None:
+        value = make_team_configuration()
+        value["Tenants"] = [{"Name": "sese880"}]
+        (team,) = values.decode_configuration(value).teams or ()
+        assert team == Team(name="sese880")
+
+    @pytest.mark.parametrize("rate", [0, 0.0, None])
+    def test_rate_of_zero_is_no_limit(self, rate: Any) -> None:
+        value = make_team_configuration(RatePerS=rate)
+        (team,) = values.decode_configuration(value).teams or ()
+        assert team.rate_per_s is None
+
+    def test_configuration_without_teams_needs_no_keys(self) -> None:
+        assert values.decode_configuration(make_configuration()).teams is None
+
+    def test_empty_list_of_teams_lets_nobody_in(self) -> None:
+        value = {**make_configuration(), "Tenants": []}
+        assert values.decode_configuration(value).teams == ()
+
+    @pytest.mark.parametrize("public", [True, False, None, "false"])
+    def test_only_true_makes_a_route_public(self, public: Any) -> None:
+        value = make_configuration()
+        value["VirtualHosts"][0]["Paths"][0]["Public"] = public
+        route = values.decode_configuration(value).routes[0]
+        assert route.public is (public is True)
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"Name": "a\r\nb"},
+            {"Name": " a"},
+            {"Name": ""},
+            {"Name": 7},
+            {"ApiKeys": [7]},
+            {"ApiKeys": "gjy5rcpihhacruddedev"},
+            {"RatePerS": -1},
+            {"RatePerS": math.inf},
+            {"Burst": math.nan},
+        ],
+    )
+    def test_invalid_values_are_rejected(
+        self, changes: dict[str, Any]
+    ) -> None:
+        with pytest.raises((ValueError, TypeError, AttributeError)):
+            values.decode_configuration(make_team_configuration(**changes))
+
+    def test_key_of_two_teams_is_rejected_without_being_shown(self) -> None:
+        value = make_team_configuration()
+        value["Tenants"].append(
+            {"Name": "other", "ApiKeys": ["gjy5rcpihhacruddedev"]}
+        )
+        with pytest.raises(ValueError, match="other") as caught:
+            values.decode_configuration(value)
+        assert "gjy5rcpihhacruddedev" not in str(caught.value)
+
+    def test_download_is_idempotent(self) -> None:
+        value = make_configuration()
+        value["VirtualHosts"][0]["Paths"][0]["RouteType"] = "download"
+        assert values.decode_configuration(value).routes[0].idempotent
+
+
 ENTRY = {
     "Service": "boxes",
     "Address": "10.128.0.9:8080",
--- a/src/hawthornmast/platform/values.py
+++ b/src/hawthornmast/platform/values.py
@@ -12,15 +12,22 @@
 from hawthornmast.common import Upstream
 from hawthornmast.membership.entries import ListedUpstream
 from hawthornmast.routing import Configuration
+from hawthornmast.routing import digest_key
 from hawthornmast.routing import RequestLimits
 from hawthornmast.routing import Route
 from hawthornmast.routing import ServiceOptions
 from hawthornmast.routing import Target
+from hawthornmast.routing import Team
 
 _DURATION_PATTERN = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
 _PORT_PATTERN = re.compile(r"[0-9]{1,5}")
+_HEADER_TEXT = re.compile(r"[!-~](?:[ -~]{0,198}[!-~])?")
 _STATES_BY_NAME = {"ready": State.LIVE, "draining": State.LEAVING}
-_IDEMPOTENT_BY_ROUTE_TYPE = {"idempotent": True, "non_idempotent": False}
+_IDEMPOTENT_BY_ROUTE_TYPE = {
+    "idempotent": True,
+    "download": True,
+    "non_idempotent": False,
+}
 
 
 def parse_duration(text: str) -> float:
@@ -102,9 +109,58 @@
             header_s=parse_duration(limits["HeaderTimeout"]),
             idle_s=parse_duration(limits["IdleTimeout"]),
         ),
+        teams=_decode_teams(value),
     )
 
 
+def _decode_teams(value: Any) -> tuple[Team, ...] | None:
+    if value.get("Tenants") is None:
+        return None
+    teams = tuple(_decode_team(item) for item in value["Tenants"])
+    owners: dict[bytes, str] = {}
+    for team in teams:
+        for digest in team.key_digests:
+            other = owners.setdefault(digest, team.name)
+            if other != team.name:
+                raise ValueError(
+                    f"a key belongs to {other!r} and to {team.name!r},"
+                    " allowed: one team a key"
+                )
+    return teams
+
+
+def _decode_team(value: Any) -> Team:
+    name = value["Name"]
+    # The name is sent to upstreams in a header.
+    if not isinstance(name, str) or _HEADER_TEXT.fullmatch(name) is None:
+        raise ValueError(
+            f"team name is {reprlib.repr(name)}, allowed: 1 to 200 printable"
+            " ASCII characters without a space at either end"
+        )
+    keys = value.get("ApiKeys") or []
+    if not isinstance(keys, list):
+        raise ValueError(f"keys of team {name!r} are no list")
+    priority = value.get("Priority")
+    return Team(
+        name=name,
+        key_digests=tuple(digest_key(key.encode()) for key in keys),
+        rank=None if priority is None else _decode_rank(priority),
+        rate_per_s=_parse_amount("RatePerS", value) or None,
+        burst=_parse_amount("Burst", value),
+    )
+
+
+def _parse_amount(field: str, value: Any) -> float:
+    amount = float(value.get(field) or 0.0)
+    if not 0.0 <= amount < math.inf:
+        raise ValueError(f"{field} is {amount}, allowed: 0 or more")
+    return amount
+
+
+def _decode_rank(priority: Any) -> Rank:
+    return Rank(min(max(int(priority), 0), max(Rank)))
+
+
 def _decode_route(host: str, value: Any) -> Route:
     traffic_split = value.get("TrafficSplit")
     if traffic_split:
@@ -125,7 +181,8 @@
         timeout_s=parse_duration(value["Timeout"]),
         target_latency_s=parse_duration(value["TargetLatency"]),
         max_attempts=int(value.get("MaxAttempts", 1)),
-        rank=Rank(min(max(int(value["Priority"]), 0), max(Rank))),
+        rank=_decode_rank(value["Priority"]),
+        public=value.get("Public") is True,
     )
 
 
--- a/src/hawthornmast/routing/__init__.py
+++ b/src/hawthornmast/routing/__init__.py
@@ -2,11 +2,13 @@
 
 from hawthornmast.routing.configuration import Configuration
 from hawthornmast.routing.configuration import decode_configuration
+from hawthornmast.routing.configuration import digest_key
 from hawthornmast.routing.configuration import encode_configuration
 from hawthornmast.routing.configuration import RequestLimits
 from hawthornmast.routing.configuration import Route
 from hawthornmast.routing.configuration import ServiceOptions
 from hawthornmast.routing.configuration import Target
+from hawthornmast.routing.configuration import Team
 from hawthornmast.routing.splits import SplitBalancer
 
 __all__ = [
@@ -16,6 +18,8 @@
     "ServiceOptions",
     "SplitBalancer",
     "Target",
+    "Team",
     "decode_configuration",
+    "digest_key",
     "encode_configuration",
 ]
--- a/src/hawthornmast/routing/configuration.py
+++ b/src/hawthornmast/routing/configuration.py
@@ -5,6 +5,7 @@
 """
 
 import functools
+import hashlib
 from typing import Any
 
 import attrs
@@ -57,7 +58,9 @@
     max_attempts
         Maximum number of upstreams to which one request is sent.
     rank
-        Priority class.
+        Priority class, unless the request's team has its own.
+    public
+        Requests need no key, even if the configuration has teams.
     """
 
     name: str
@@ -69,6 +72,41 @@
     target_latency_s: float
     max_attempts: int = 1
     rank: Rank = Rank.STANDARD
+    public: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Team:
+    """A group of clients that is identified by its keys.
+
+    Parameters
+    ----------
+    name
+        Unique name within the configuration.
+    key_digests
+        Digests of its valid keys, as ``digest_key`` returns them.
+    rank
+        Priority class of its requests; None for that of each route.
+    rate_per_s
+        Requests per second that all members together admit; None without a
+        limit.
+    burst
+        Requests that they admit at once in addition.
+    """
+
+    name: str
+    key_digests: tuple[bytes, ...] = ()
+    rank: Rank | None = None
+    rate_per_s: float | None = None
+    burst: float = 0.0
+
+
+def digest_key(key: bytes) -> bytes:
+    """Return the digest by which a key is looked up.
+
+    Keys themselves are kept neither in the configuration nor in messages.
+    """
+    return hashlib.sha256(key).digest()
 
 
 @attrs.frozen(kw_only=True)
@@ -118,12 +156,15 @@
     ----------
     version
         Number that increases with each configuration.
+    teams
+        Teams whose keys requests need; None if requests need no key.
     """
 
     version: int
     routes: tuple[Route, ...] = ()
     services: tuple[ServiceOptions, ...] = ()
     limits: RequestLimits = RequestLimits()
+    teams: tuple[Team, ...] | None = None
 
     def find_route(self, host: str, target: str) -> Route | None:
         """Return the route with the longest matching path prefix.
@@ -151,6 +192,25 @@
         """Return the options of a service."""
         return self._services_by_name.get(name)
 
+    def find_team(self, key_digest: bytes) -> Team | None:
+        """Return the team that holds a key, None if the key is unknown.
+
+        Parameters
+        ----------
+        key_digest
+            Digest of the key. The time of the lookup depends on the digest
+            and not on how much of the key is right.
+        """
+        return self._teams_by_digest.get(key_digest)
+
+    @functools.cached_property
+    def _teams_by_digest(self) -> dict[bytes, Team]:
+        return {
+            digest: team
+            for team in self.teams or ()
+            for digest in team.key_digests
+        }
+
     @functools.cached_property
     def _routes_by_host(self) -> dict[str, dict[str, Route]]:
         index: dict[str, dict[str, Route]] = {}
@@ -164,8 +224,12 @@
 
 
 def encode_configuration(configuration: Configuration) -> list[Any]:
-    """Encode a configuration as plain lists for other daemons."""
-    return [
+    """Encode a configuration as plain lists for other daemons.
+
+    Without teams, earlier versions can decode it. They refuse one with teams,
+    which they could not enforce.
+    """
+    fields: list[Any] = [
         configuration.version,
         [
             [
@@ -178,12 +242,37 @@
                 route.target_latency_s,
                 route.max_attempts,
                 int(route.rank),
+                route.public,
             ]
             for route in configuration.routes
         ],
         [list(attrs.astuple(item)) for item in configuration.services],
         list(attrs.astuple(configuration.limits)),
     ]
+    if configuration.teams is not None:
+        fields.append([_encode_team(team) for team in configuration.teams])
+    return fields
+
+
+def _encode_team(team: Team) -> list[Any]:
+    return [
+        team.name,
+        list(team.key_digests),
+        None if team.rank is None else int(team.rank),
+        team.rate_per_s,
+        team.burst,
+    ]
+
+
+def _decode_team(value: Any) -> Team:
+    name, key_digests, rank, rate_per_s, burst = value
+    return Team(
+        name=str(name),
+        key_digests=tuple(bytes(digest) for digest in key_digests),
+        rank=None if rank is None else Rank(rank),
+        rate_per_s=None if rate_per_s is None else float(rate_per_s),
+        burst=float(burst),
+    )
 
 
 def decode_configuration(value: Any) -> Configuration:
@@ -191,7 +280,7 @@
 
     Raises ValueError, TypeError or IndexError for anything else.
     """
-    version, routes, services, limits = value
+    version, routes, services, limits, *optional = value
     header_bytes, body_bytes, header_s, idle_s = limits
     return Configuration(
         version=int(version),
@@ -206,6 +295,11 @@
             header_s=header_s,
             idle_s=idle_s,
         ),
+        teams=(
+            tuple(_decode_team(item) for item in optional[0])
+            if optional
+            else None
+        ),
     )
 
 
@@ -221,4 +315,6 @@
         target_latency_s=float(latency_s),
         max_attempts=int(value[7]),
         rank=Rank(value[8]),
+        # Earlier versions end with the rank.
+        public=bool(value[9]) if len(value) > 9 else False,
     )
--- a/src/hawthornmast/routing/tests/test_configuration.py
+++ b/src/hawthornmast/routing/tests/test_configuration.py
@@ -1,16 +1,19 @@
 """Tests of the routing configuration."""
 
 import attrs
+import msgpack
 import pytest
 
 from hawthornmast.common import Rank
 from hawthornmast.routing import Configuration
 from hawthornmast.routing import decode_configuration
+from hawthornmast.routing import digest_key
 from hawthornmast.routing import encode_configuration
 from hawthornmast.routing import RequestLimits
 from hawthornmast.routing import Route
 from hawthornmast.routing import ServiceOptions
 from hawthornmast.routing import Target
+from hawthornmast.routing import Team
 
 
 def make_route(name: str, prefix: str, **changes: object) -> Route:
@@ -86,3 +89,55 @@
     def test_malformed_value_is_rejected(self, value: object) -> None:
         with pytest.raises((ValueError, TypeError, IndexError)):
             decode_configuration(value)
+
+
+class TestTeams:
+    """Finds teams by key digests, also in the configuration of a peer."""
+
+    CONFIGURATION = attrs.evolve(
+        CONFIGURATION,
+        routes=(make_route("open", "/open/", public=True),),
+        teams=(
+            Team(
+                name="packers",
+                key_digests=(digest_key(b"k1"), digest_key(b"k2")),
+                rank=Rank.URGENT,
+                rate_per_s=92.0,
+                burst=46.0,
+            ),
+            Team(name="couriers", key_digests=(digest_key(b"k3"),)),
+        ),
+    )
+
+    @pytest.mark.parametrize(
+        ("key", "name"),
+        [(b"k1", "packers"), (b"k2", "packers"), (b"k3", "couriers")],
+    )
+    def test_are_found_by_any_of_their_keys(self, key, name):
+        # Guards against keys that are lost when a team has several.
+        found = self.CONFIGURATION.find_team(digest_key(key))
+        assert found is not None and found.name == name
+
+    def test_are_not_found_by_unknown_keys(self):
+        assert self.CONFIGURATION.find_team(digest_key(b"k4")) is None
+
+    def test_survive_the_encoding_for_peers(self):
+        # Guards against members that learn routes but not who may use them.
+        encoded = encode_configuration(self.CONFIGURATION)
+        assert decode_configuration(encoded) == self.CONFIGURATION
+
+    def test_no_key_is_encoded(self):
+        # Guards against keys in messages between members.
+        packed = msgpack.packb(encode_configuration(self.CONFIGURATION))
+        assert b"k1" not in packed
+
+    def test_earlier_versions_decode_a_configuration_without_teams(self):
+        # Guards against a fleet that splits while it is upgraded.
+        assert len(encode_configuration(CONFIGURATION)) == 4
+
+    def test_no_teams_differ_from_an_empty_list_of_teams(self):
+        # Guards against open access once the last team is removed.
+        closed = attrs.evolve(CONFIGURATION, teams=())
+        assert decode_configuration(encode_configuration(closed)).teams == ()
+        opened = decode_configuration(encode_configuration(CONFIGURATION))
+        assert opened.teams is None
