Send a second attempt beside one that takes unusually long

Cause: an upstream that hangs while its health is good held a request for its whole time.

Change: an idempotent request whose attempt takes over 1.2 times the 95th percentile of its route gets a second one on a free slot of another upstream, within MaxAttempts, the retry budget and its time, and never while requests wait for slots. The first success is the answer. Attempts of over twice that time count against their upstream.

--- a/src/hawthornmast/gateway/attempts.py
+++ b/src/hawthornmast/gateway/attempts.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import attrs
+import trio
 
 from hawthornmast.catalogue import Entry
 from hawthornmast.common import Upstream
@@ -43,6 +44,38 @@
     failed_ids: set[str] = attrs.Factory(set)
     last_answer: ClientResponse | None = None
     progress: Progress = attrs.Factory(Progress)
+    attempt_scope: trio.CancelScope = attrs.Factory(trio.CancelScope)
+    hedge: "Hedge | None" = None
+    is_hedge: bool = False
+
+    def end_hedge(self) -> None:
+        """Cancel the second attempt that runs beside the first, if any."""
+        if self.hedge is not None:
+            self.hedge.scope.cancel()
+            self.hedge = None
+
+
+@attrs.define(eq=False)
+class Hedge:
+    """A second attempt that runs beside a late one.
+
+    Parameters
+    ----------
+    context
+        State of the request with the progress of the second attempt.
+    answer
+        Answer of the second attempt, None if it has none yet or failed.
+    """
+
+    context: RequestContext
+    answer: ClientResponse | None = None
+    scope: trio.CancelScope = attrs.Factory(trio.CancelScope)
+    done: trio.Event = attrs.Factory(trio.Event)
+
+    @property
+    def succeeded(self) -> bool:
+        """Whether its answer may be given to the client."""
+        return self.answer is not None and self.answer.status < 500
 
 
 class EvidenceRecorder:
@@ -98,6 +131,12 @@
         """Record an attempt that ended without a complete response."""
         self._record(context, upstream, Observation.FAILED)
 
+    def record_overdue(
+        self, context: RequestContext, upstream: Upstream
+    ) -> None:
+        """Record an attempt that takes far longer than usual."""
+        self._record(context, upstream, Observation.FAILED_LATE)
+
     def record_cancellation(
         self, context: RequestContext, upstream: Upstream, started_at: float
     ) -> None:
--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -30,6 +30,7 @@
 from hawthornmast.gateway.attempts import EvidenceRecorder
 from hawthornmast.gateway.attempts import RequestContext
 from hawthornmast.gateway.evidence import EvidenceExchange
+from hawthornmast.gateway.hedging import HedgedAttempts
 from hawthornmast.gateway.outcomes import AttemptOutcomes
 from hawthornmast.gateway.outcomes import MIN_RETRY_AFTER_S
 from hawthornmast.gateway.services import ServiceRegistry
@@ -37,6 +38,7 @@
 from hawthornmast.gateway.teams import find_request_team
 from hawthornmast.gateway.upstreams import ResponseAssessment
 from hawthornmast.gateway.upstreams import UpstreamDialect
+from hawthornmast.limits import Admission
 from hawthornmast.routing import Configuration
 from hawthornmast.routing import Route
 from hawthornmast.routing import SplitBalancer
@@ -104,6 +106,8 @@
 
     Attributes
     ----------
+    hedges
+        Runs the attempts; its monitor is ticked by the member.
     stop
         Schedule of the member's stop, None before it begins.
     """
@@ -126,6 +130,12 @@
         self._outcomes = AttemptOutcomes(self._recorder, clock=clock)
         self._clock = clock
         self._splits = SplitBalancer()
+        self.hedges = HedgedAttempts(
+            attempt=self._attempt,
+            send=self._send,
+            recorder=self._recorder,
+            clock=clock,
+        )
         self.stop: StopSchedule | None = None
 
     def reset_traffic_splits(self) -> None:
@@ -212,7 +222,7 @@
         answer: ClientResponse | None = None
         with open_scope(context.deadline):
             while answer is None:
-                answer = await self._attempt(context)
+                answer = await self.hedges.run(context)
         if answer is None:
             answer = self._answer_after_cancellation(context)
         if not trace.client_disconnected:
@@ -263,6 +273,15 @@
         if withdrawn is not None:
             admission.release()
             return withdrawn
+        return await self._send(context, admission)
+
+    async def _send(
+        self, context: RequestContext, admission: Admission
+    ) -> ClientResponse | None:
+        """Send a request to the upstream of its slot, and release that.
+
+        Return None if another attempt is to be made.
+        """
         upstream = admission.upstream
         failure_probability = context.state.pool.failure_probability(
             upstream.upstream_id
@@ -271,6 +290,7 @@
         context.trace.upstreams.append(upstream.upstream_id)
         started_at = self._clock()
         step = "cancelled"
+        self.hedges.monitor.watch(context, upstream)
         try:
             send_result = await self._upstream_client.send(
                 upstream,
@@ -290,6 +310,7 @@
                     self._assess_response(context, exchange).valid
                 ),
             )
+            self.hedges.monitor.unwatch(context)
             if context.progress.started:
                 context.attempted_ids.add(upstream.upstream_id)
             if isinstance(send_result, Err):
@@ -310,6 +331,7 @@
             self._recorder.record_cancellation(context, upstream, started_at)
             raise
         finally:
+            self.hedges.monitor.unwatch(context)
             elapsed_ms = round((self._clock() - started_at) * 1000)
             reused_suffix = ":kept" if context.progress.reused else ""
             context.trace.steps.append(
@@ -422,6 +444,9 @@
                 content_length=exchange.header(b"content-length"),
             )
             if not exchange.complete:
+                if context.is_hedge:
+                    return None
+                context.end_hedge()
                 if context.request.is_http10:
                     return build_error_response(
                         502, "too-long", outcome=Outcome.UNKNOWN
--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -222,6 +222,7 @@
             host=instance.host,
             port=instance.peer_port,
         )
+        self.forwarder.hedges.start(nursery)
         await self.server.start(nursery, listener=listener)
         nursery.start_soon(self.synchronizer.run)
         nursery.start_soon(self._run_periodic_tasks)
@@ -298,6 +299,7 @@
         self._update_members()
         self._send_heartbeats(self.gossip.due_heartbeats())
         self.evidence.tick()
+        self.forwarder.hedges.monitor.tick()
         position = self._find_position()
         slack = compute_retry_slack(
             self.options.bounds,
--- a/src/hawthornmast/gateway/services.py
+++ b/src/hawthornmast/gateway/services.py
@@ -175,6 +175,10 @@
             return math.inf
         return latencies_s[int(USUAL_LATENCY_QUANTILE * len(latencies_s))]
 
+    def count_latencies(self, route: str) -> int:
+        """Return how many of a route's newest latencies are known."""
+        return len(self._latencies_s.get(route, ()))
+
     def record_latency(self, route: str, latency_s: float) -> None:
         """Update the latencies of a route with a successful response.
 
