--- a/src/hawthornmast/gateway/hedging.py
+++ b/src/hawthornmast/gateway/hedging.py
@@ -43,7 +43,7 @@
 """Samples from which the usual latency of a route is taken; the highest of
 fewer ones says little of its quantile."""
 
-MIN_HEDGE_BUDGET_FRACTION = 0.5
+MIN_HEDGE_BUDGET_FRACTION = 0.25
 """Fraction of the retry budget below which no second attempt is sent beside
 one that may still succeed; the rest covers attempts that failed."""
 
