Handle unchanged heartbeats and lists without decoding them

Cause: every heartbeat was decoded into new objects and applied in full, each summary too, although nearly all repeat the last one; find(host) scanned all members; the evidence exchange scanned all upstreams every 0.1 s; each list was decoded as a whole and scanned once for each service.

Change: a heartbeat with the rows of the last one of a live member of the zone only updates the time it was last heard. A summary that names the state and the reads that this member knows, with no larger ages, is not decoded. Hosts are found by an index, reports are built only after a slot was taken or released, listed entries that are the same are reused, and entries are grouped by service once.

--- a/src/hawthornmast/gateway/confirmations.py
+++ b/src/hawthornmast/gateway/confirmations.py
@@ -92,6 +92,23 @@
         """Return the seconds since the latest read."""
         return self._clock() - self.confirmed_at
 
+    def is_latest(self, value: Any, age_s: Any) -> bool:
+        """Return whether a peer states nothing new of the latest read.
+
+        Parameters
+        ----------
+        value
+            Encoded identifier of the read that the peer names.
+        age_s
+            Age of the read in seconds that the peer states.
+        """
+        return (
+            self.read_id is not None
+            and value == [self.read_id.reader, self.read_id.number]
+            and isinstance(age_s, float)
+            and age_s <= self.age_s()
+        )
+
     def record_read(self, asked_at: float) -> None:
         """Record a read of this member.
 
--- a/src/hawthornmast/gateway/evidence.py
+++ b/src/hawthornmast/gateway/evidence.py
@@ -14,6 +14,7 @@
 
 from hawthornmast.gateway.services import ServiceRegistry
 from hawthornmast.health.belief import Observation
+from hawthornmast.limits import SharedPool
 
 FLUSH_INTERVAL_S = 0.06
 """Interval of batched reports; failures are sent immediately."""
@@ -48,6 +49,8 @@
         self._pending_counts: dict[tuple[str, str], list[int]] = {}
         # Slots in use as last reported.
         self._reported_in_use: dict[tuple[str, str], int] = {}
+        # Pools with the number of changes of their use at the last report.
+        self._reported_pools: list[tuple[SharedPool, int]] = []
         self._next_flush_at = 0.0
         self._next_refresh_at = 0.0
 
@@ -83,6 +86,8 @@
                 for key, count in self._reported_in_use.items()
                 if count > 0
             }
+            if self._reported_in_use:
+                self._reported_pools = []
             self.flush()
         elif now >= self._next_flush_at:
             self.flush()
@@ -90,6 +95,12 @@
     def flush(self) -> None:
         """Report all changes since the last report."""
         self._next_flush_at = trio.current_time() + FLUSH_INTERVAL_S
+        pools = [
+            (state.pool, state.pool.use_changes) for state in self._services
+        ]
+        if not self._pending_counts and pools == self._reported_pools:
+            return
+        self._reported_pools = pools
         report: list[list[Any]] = []
         for state in self._services:
             changes: list[Any] = []
--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -419,7 +419,7 @@
         if rows:
             self._send_heartbeats(self.gossip.receive(rows, sender, waited_s))
         peer = self.gossip.find(sender)
-        if peer is not None:
+        if peer is not None and not self.synchronizer.is_known(summary):
             self.synchronizer.receive(
                 decode_summary(summary), peer, self._nursery
             )
--- a/src/hawthornmast/gateway/services.py
+++ b/src/hawthornmast/gateway/services.py
@@ -373,12 +373,13 @@
                 )
         for service in configuration.services:
             entries_by_service.setdefault(service.name, [])
+        listed = self._group_listed()
         for name, entries in entries_by_service.items():
             state = self._states.get(name)
             if state is None:
                 state = self._make_state(name, self.statements)
                 self._states[name] = state
-                self._update_upstreams(state)
+                self._update_upstreams(state, listed.get(name, []))
             state.update_entries(tuple(entries), configuration.version)
         for name in self._states.keys() - entries_by_service.keys():
             # Queued requests are refused; running requests finish.
@@ -389,10 +390,20 @@
         """Apply a new list of upstreams."""
         self._listed = listed
         self.statements.discard_unlisted(listed)
+        entries = self._group_listed()
         for state in self._states.values():
-            self._update_upstreams(state)
+            self._update_upstreams(state, entries.get(state.name, []))
 
-    def _update_upstreams(self, state: ServiceState) -> None:
+    def _group_listed(self) -> dict[str, list[ListedUpstream]]:
+        """Return the listed upstreams of each service."""
+        entries: dict[str, list[ListedUpstream]] = {}
+        for item in self._listed.values():
+            entries.setdefault(item.service, []).append(item)
+        return entries
+
+    def _update_upstreams(
+        self, state: ServiceState, entries: list[ListedUpstream]
+    ) -> None:
         # Default of ``ServiceOptions``, for services without options.
         connections = 400
         if self._configuration is not None:
@@ -402,7 +413,6 @@
         state.update(
             [
                 attrs.evolve(item.upstream, connections=connections)
-                for item in self._listed.values()
-                if item.service == state.name
+                for item in entries
             ]
         )
--- a/src/hawthornmast/gateway/snapshots.py
+++ b/src/hawthornmast/gateway/snapshots.py
@@ -75,6 +75,9 @@
     listing_read: ReadId | None = None
 
 
+SUMMARY_FIELDS = len(attrs.fields(StateSummary))
+
+
 def decode_summary(value: Any) -> StateSummary:
     """Decode the state summary in a datagram.
 
--- a/src/hawthornmast/gateway/sources.py
+++ b/src/hawthornmast/gateway/sources.py
@@ -46,6 +46,7 @@
 from hawthornmast.gateway.snapshots import fetch_snapshot
 from hawthornmast.gateway.snapshots import StateSnapshot
 from hawthornmast.gateway.snapshots import StateSummary
+from hawthornmast.gateway.snapshots import SUMMARY_FIELDS
 from hawthornmast.membership.gossip import Gossip
 from hawthornmast.membership.listing import UpstreamListing
 from hawthornmast.routing import Configuration
@@ -194,6 +195,27 @@
                     else CHECK_INTERVAL_S
                 )
 
+    def is_known(self, encoded: Any) -> bool:
+        """Return whether an encoded summary states nothing new.
+
+        It names the state of this member and the reads that confirmed it, and
+        states no larger ages of them, which would count.
+        """
+        if type(encoded) is not list or len(encoded) != SUMMARY_FIELDS:
+            return False
+        version, configuration_age_s, revision, digest, age_s, *reads = encoded
+        listing = self._listing
+        return (
+            revision == listing.revision
+            and digest == listing.digest
+            and version == self.version
+            and self._configuration_reads.is_latest(
+                reads[0], configuration_age_s
+            )
+            and self._listing_reads.is_latest(reads[1], age_s)
+            and listing.confirmed_at == self._listing_reads.confirmed_at
+        )
+
     def receive(
         self, summary: StateSummary, sender: Instance, nursery: Any
     ) -> None:
--- a/src/hawthornmast/limits/shared.py
+++ b/src/hawthornmast/limits/shared.py
@@ -150,6 +150,7 @@
         self.silence_timeout_s = SILENCE_TIMEOUT_S
         self.explores = True
         self.rate_share = 1.0
+        self.use_changes = 0
         self._outcomes = OutcomeWindow(clock)
         # Whether the floor was kept when last counted, and until when the
         # count holds.
@@ -230,6 +231,7 @@
         if self._is_due(best, selection):
             self._allowance.spend()
         best.record_request(now)
+        self.use_changes += 1
         return best.upstream
 
     def _make_selection(
@@ -334,6 +336,7 @@
                 f"cannot release a slot of {upstream_id!r}: no slot in use"
             )
         member.in_use -= 1
+        self.use_changes += 1
         if not member.listed and not member.in_use:
             del self.members[upstream_id]
 
--- a/src/hawthornmast/membership/gossip.py
+++ b/src/hawthornmast/membership/gossip.py
@@ -118,6 +118,7 @@
         self._live_members: list[Member] = []
         self._live_members_until = -math.inf
         self._change_count = 0
+        self._members_by_host: dict[str, Member] | None = None
         self._ranked_zone: list[Instance] | None = None
         self._representatives: list[Instance] | None = None
         self._next_heartbeat_at = 0.0
@@ -155,10 +156,15 @@
 
     def find(self, host: str) -> Instance | None:
         """Return the known daemon with an IP address, live or lost."""
-        for member in self._members.values():
-            if member.instance.host == host:
-                return member.instance
-        return None
+        member = self._find_member(host)
+        return None if member is None else member.instance
+
+    def _find_member(self, host: str) -> Member | None:
+        if self._members_by_host is None:
+            self._members_by_host = {}
+            for member in self._members.values():
+                self._members_by_host.setdefault(member.instance.host, member)
+        return self._members_by_host.get(host)
 
     def count_changes(self) -> int:
         """Return how often the live daemons or their data have changed."""
@@ -286,6 +292,8 @@
             counts as heard before, so that a lost daemon isn't noticed later.
         """
         now = self._clock() - waited_s
+        if self._receive_unchanged(rows, sender, now):
+            return []
         reports = [decode_row(row) for row in rows]
         name = reports[0].instance.instance_id
         incarnation = reports[0].incarnation
@@ -313,7 +321,10 @@
             self._apply_report(report, now, direct=index == 0)
         if name == self.instance.instance_id:
             return []
-        self._members[name].heard_directly = True
+        sending = self._members[name]
+        sending.heard_directly = True
+        if len(rows) == 1 and sending.agrees_with(reports[0]):
+            sending.last_rows = rows
         if reports[0].instance.state is State.LEAVING:
             return self._report_leave(self._members[name])
         if not was_in_contact:
@@ -333,6 +344,25 @@
             return [HeartbeatDatagram(host=sender, rows=rows)]
         return []
 
+    def _receive_unchanged(
+        self, rows: list[Row], sender: str, now: float
+    ) -> bool:
+        """Apply a heartbeat of a live daemon of the zone like its last one.
+
+        Nearly all heartbeats are of this kind. Returns False for any other.
+        """
+        member = self._find_member(sender)
+        if (
+            member is None
+            or rows != member.last_rows
+            or member.instance.zone != self.instance.zone
+            or now < member.last_heard_at
+            or not self._is_live(member)
+        ):
+            return False
+        member.last_heard_at = now
+        return True
+
     def _report_leave(self, leaving: Member) -> list[HeartbeatDatagram]:
         """Return reports to this zone that a daemon of another one leaves.
 
@@ -394,6 +424,7 @@
         if incarnation > member.incarnation:
             member.incarnation = incarnation
             member.heard_directly = False
+            member.last_rows = None
             member.leave_reports = 0
             member.last_heard_at = heard_at
         elif heard_at < member.last_heard_at:
@@ -407,12 +438,14 @@
         if member.instance != instance or member.ready != report.ready:
             member.instance = instance
             member.ready = report.ready
+            member.last_rows = None
             self._record_change()
 
     def _record_change(self) -> None:
         self._change_count += 1
         self._live_members_until = -math.inf
         self._ranked_zone = self._representatives = None
+        self._members_by_host = None
 
     def _get_live_members(self) -> list[Member]:
         """Return the live members, cached for up to ``LIVE_CACHE_S``."""
@@ -497,6 +530,7 @@
         for name, member in list(self._members.items()):
             if now - member.last_heard_at > MEMBER_EXPIRY_S:
                 del self._members[name]
+                self._members_by_host = None
 
     def _list_discovery_hosts(self) -> list[str]:
         """Return addresses of seeds and of daemons to contact again.
--- a/src/hawthornmast/membership/heartbeats.py
+++ b/src/hawthornmast/membership/heartbeats.py
@@ -11,6 +11,29 @@
 Row = list[Any]
 
 
+@attrs.frozen(kw_only=True)
+class Report:
+    """Decoded row about one daemon.
+
+    Parameters
+    ----------
+    instance
+        Its name, zone, addresses and state.
+    ready
+        Whether clients should connect to it.
+    incarnation
+        Start time of its process in nanoseconds since the epoch.
+    age_s
+        Seconds between the daemon's last heartbeat known to the sender and
+        the sending of the row.
+    """
+
+    instance: Instance
+    ready: bool
+    incarnation: int
+    age_s: float
+
+
 @attrs.define(kw_only=True, eq=False)
 class Member:
     """Local record of another daemon.
@@ -36,6 +59,9 @@
     leave_reports
         Number of times this daemon reported to its zone that the daemon is
         leaving.
+    last_rows
+        Rows of its last heartbeat if its record agrees with them. A heartbeat
+        with the same rows changes only the time of the last one.
     """
 
     instance: Instance
@@ -45,6 +71,15 @@
     heard_directly: bool = False
     last_redirect_at: float = -math.inf
     leave_reports: int = 0
+    last_rows: list[Row] | None = None
+
+    def agrees_with(self, report: Report) -> bool:
+        """Return whether a report of the daemon would change nothing."""
+        return (
+            self.incarnation == report.incarnation
+            and self.ready == report.ready
+            and self.instance == report.instance
+        )
 
 
 @attrs.frozen(kw_only=True)
@@ -55,29 +90,6 @@
     rows: list[Row]
 
 
-@attrs.frozen(kw_only=True)
-class Report:
-    """Decoded row about one daemon.
-
-    Parameters
-    ----------
-    instance
-        Its name, zone, addresses and state.
-    ready
-        Whether clients should connect to it.
-    incarnation
-        Start time of its process in nanoseconds since the epoch.
-    age_s
-        Seconds between the daemon's last heartbeat known to the sender and
-        the sending of the row.
-    """
-
-    instance: Instance
-    ready: bool
-    incarnation: int
-    age_s: float
-
-
 def encode_row(
     instance: Instance, *, ready: bool, incarnation: int, age_s: float
 ) -> Row:
--- a/src/hawthornmast/membership/listing.py
+++ b/src/hawthornmast/membership/listing.py
@@ -105,12 +105,23 @@
             Monotonic time at which the platform confirmed it, now by default.
         """
         revision, entries = encoded
-        decoded = [decode_entry(item) for item in entries]
+        decoded = [self._decode_entry(item) for item in entries]
         if self.is_loaded and int(revision) < self.revision:
             return False
         listed = {item.upstream.upstream_id: item for item in decoded}
         return self._replace(int(revision), listed, confirmed_at)
 
+    def _decode_entry(self, value: Any) -> ListedUpstream:
+        """Decode an entry; one that is listed already is returned itself.
+
+        Raises ValueError or TypeError if it is malformed.
+        """
+        if isinstance(value, list) and len(value) > 1:
+            known = self._listed.get(value[1])
+            if known is not None and encode_entry(known) == value:
+                return known
+        return decode_entry(value)
+
     def drop_expired(self) -> bool:
         """Drop entries whose time to return is over; return whether any."""
         now = self._clock()
