--- a/src/hawthornmast/membership/gossip.py
+++ b/src/hawthornmast/membership/gossip.py
@@ -292,7 +292,7 @@
             counts as heard before, so that a lost daemon isn't noticed later.
         """
         now = self._clock() - waited_s
-        if self._receive_unchanged(rows, sender, now):
+        if self._receive_unchanged(rows, sender, now, waited_s):
             return []
         reports = [decode_row(row) for row in rows]
         name = reports[0].instance.instance_id
@@ -315,7 +315,7 @@
             known is not None
             and known.heard_directly
             and known.incarnation == incarnation
-            and not self._is_lost(known)
+            and not self._is_lost(known, self._clock())
         )
         for index, report in enumerate(reports):
             self._apply_report(report, now, direct=index == 0)
@@ -345,7 +345,7 @@
         return []
 
     def _receive_unchanged(
-        self, rows: list[Row], sender: str, now: float
+        self, rows: list[Row], sender: str, now: float, waited_s: float
     ) -> bool:
         """Apply a heartbeat of a live daemon of the zone like its last one.
 
@@ -357,7 +357,8 @@
             or rows != member.last_rows
             or member.instance.zone != self.instance.zone
             or now < member.last_heard_at
-            or not self._is_live(member)
+            or member.instance.state is not State.LIVE
+            or self._is_lost(member, now + waited_s)
         ):
             return False
         member.last_heard_at = now
@@ -454,7 +455,8 @@
             found = [
                 member
                 for member in self._members.values()
-                if self._is_live(member)
+                if member.instance.state is State.LIVE
+                and not self._is_lost(member, now)
             ]
             if found != self._live_members:
                 self._live_members = found
@@ -464,12 +466,12 @@
 
     def _is_live(self, member: Member) -> bool:
         return member.instance.state is State.LIVE and not self._is_lost(
-            member
+            member, self._clock()
         )
 
-    def _is_lost(self, member: Member) -> bool:
+    def _is_lost(self, member: Member, now: float) -> bool:
         """Return whether heartbeats from or about a member stopped."""
-        age = self._clock() - member.last_heard_at
+        age = now - member.last_heard_at
         limit = LOSS_PERIODS * self.period_s
         if member.instance.zone != self.instance.zone:
             # Representatives report the daemons of other zones once a
