--- a/src/hawthornmast/gateway/sources.py
+++ b/src/hawthornmast/gateway/sources.py
@@ -31,6 +31,7 @@
 from hawthornmast.audit import log_failures
 from hawthornmast.common import Instance
 from hawthornmast.common import StepError
+from hawthornmast.common.ticks import sleep_until_tick
 from hawthornmast.gateway.calls import CallRecorder
 from hawthornmast.gateway.calls import PlatformSource
 from hawthornmast.gateway.confirmations import ConfirmationTracker
@@ -45,6 +46,7 @@
 from hawthornmast.gateway.snapshots import fetch_snapshot
 from hawthornmast.gateway.snapshots import StateSnapshot
 from hawthornmast.gateway.snapshots import StateSummary
+from hawthornmast.gateway.snapshots import SUMMARY_FIELDS
 from hawthornmast.membership.gossip import Gossip
 from hawthornmast.membership.listing import UpstreamListing
 from hawthornmast.routing import Configuration
@@ -187,12 +189,33 @@
                     if self._listing.drop_expired():
                         self._on_listing("expiry")
                     self._start_due_tasks(nursery)
-                await trio.sleep(
+                await sleep_until_tick(
                     STARTUP_CHECK_INTERVAL_S
                     if self.uninitialized
                     else CHECK_INTERVAL_S
                 )
 
+    def is_known(self, encoded: Any) -> bool:
+        """Return whether an encoded summary states nothing new.
+
+        It names the state of this member and the reads that confirmed it, and
+        states no larger ages of them, which would count.
+        """
+        if type(encoded) is not list or len(encoded) != SUMMARY_FIELDS:
+            return False
+        version, configuration_age_s, revision, digest, age_s, *reads = encoded
+        listing = self._listing
+        return (
+            revision == listing.revision
+            and digest == listing.digest
+            and version == self.version
+            and self._configuration_reads.is_latest(
+                reads[0], configuration_age_s
+            )
+            and self._listing_reads.is_latest(reads[1], age_s)
+            and listing.confirmed_at == self._listing_reads.confirmed_at
+        )
+
     def receive(
         self, summary: StateSummary, sender: Instance, nursery: Any
     ) -> None:
--- a/src/hawthornmast/membership/gossip.py
+++ b/src/hawthornmast/membership/gossip.py
@@ -36,6 +36,10 @@
 LOSS_PERIODS = 3.5
 """Periods without a heartbeat after which a daemon counts as lost."""
 
+HEARTBEAT_TOLERANCE_S = 0.02
+"""Time by which a heartbeat may be early. Heartbeats are sent at ticks, and a
+tick that comes on time after a late one must not be missed."""
+
 SEED_RETRY_S = 1.0
 """Interval between attempts to contact seeds and lost daemons."""
 
@@ -114,6 +118,7 @@
         self._live_members: list[Member] = []
         self._live_members_until = -math.inf
         self._change_count = 0
+        self._members_by_host: dict[str, Member] | None = None
         self._ranked_zone: list[Instance] | None = None
         self._representatives: list[Instance] | None = None
         self._next_heartbeat_at = 0.0
@@ -151,10 +156,15 @@
 
     def find(self, host: str) -> Instance | None:
         """Return the known daemon with an IP address, live or lost."""
-        for member in self._members.values():
-            if member.instance.host == host:
-                return member.instance
-        return None
+        member = self._find_member(host)
+        return None if member is None else member.instance
+
+    def _find_member(self, host: str) -> Member | None:
+        if self._members_by_host is None:
+            self._members_by_host = {}
+            for member in self._members.values():
+                self._members_by_host.setdefault(member.instance.host, member)
+        return self._members_by_host.get(host)
 
     def count_changes(self) -> int:
         """Return how often the live daemons or their data have changed."""
@@ -209,7 +219,7 @@
     def due_heartbeats(self) -> list[HeartbeatDatagram]:
         """Return the heartbeats that are due now."""
         now = self._clock()
-        if now < self._next_heartbeat_at:
+        if now < self._next_heartbeat_at - HEARTBEAT_TOLERANCE_S:
             return []
         zone_peer_count = sum(
             member.instance.zone == self.instance.zone
@@ -218,7 +228,9 @@
         self.period_s = max(
             HEARTBEAT_S, zone_peer_count / MAX_HEARTBEATS_PER_S
         )
-        self._next_heartbeat_at = now + self.period_s
+        self._next_heartbeat_at += self.period_s
+        if self._next_heartbeat_at <= now:
+            self._next_heartbeat_at = now + self.period_s
         is_representative = self.is_representative()
         own_rows = [self._own_row()]
         zone_rows = own_rows
@@ -266,12 +278,22 @@
             for m in self._get_live_members()
         ]
 
-    def receive(self, rows: list[Row], sender: str) -> list[HeartbeatDatagram]:
+    def receive(
+        self, rows: list[Row], sender: str, waited_s: float = 0.0
+    ) -> list[HeartbeatDatagram]:
         """Apply a heartbeat from an address; return the replies to send.
 
         Raises ValueError, TypeError or IndexError for malformed rows.
+
+        Parameters
+        ----------
+        waited_s
+            Time that the heartbeat may have waited since it arrived. It
+            counts as heard before, so that a lost daemon isn't noticed later.
         """
-        now = self._clock()
+        now = self._clock() - waited_s
+        if self._receive_unchanged(rows, sender, now, waited_s):
+            return []
         reports = [decode_row(row) for row in rows]
         name = reports[0].instance.instance_id
         incarnation = reports[0].incarnation
@@ -293,13 +315,16 @@
             known is not None
             and known.heard_directly
             and known.incarnation == incarnation
-            and not self._is_lost(known)
+            and not self._is_lost(known, self._clock())
         )
         for index, report in enumerate(reports):
             self._apply_report(report, now, direct=index == 0)
         if name == self.instance.instance_id:
             return []
-        self._members[name].heard_directly = True
+        sending = self._members[name]
+        sending.heard_directly = True
+        if len(rows) == 1 and sending.agrees_with(reports[0]):
+            sending.last_rows = rows
         if reports[0].instance.state is State.LEAVING:
             return self._report_leave(self._members[name])
         if not was_in_contact:
@@ -319,6 +344,26 @@
             return [HeartbeatDatagram(host=sender, rows=rows)]
         return []
 
+    def _receive_unchanged(
+        self, rows: list[Row], sender: str, now: float, waited_s: float
+    ) -> bool:
+        """Apply a heartbeat of a live daemon of the zone like its last one.
+
+        Nearly all heartbeats are of this kind. Returns False for any other.
+        """
+        member = self._find_member(sender)
+        if (
+            member is None
+            or rows != member.last_rows
+            or member.instance.zone != self.instance.zone
+            or now < member.last_heard_at
+            or member.instance.state is not State.LIVE
+            or self._is_lost(member, now + waited_s)
+        ):
+            return False
+        member.last_heard_at = now
+        return True
+
     def _report_leave(self, leaving: Member) -> list[HeartbeatDatagram]:
         """Return reports to this zone that a daemon of another one leaves.
 
@@ -380,6 +425,7 @@
         if incarnation > member.incarnation:
             member.incarnation = incarnation
             member.heard_directly = False
+            member.last_rows = None
             member.leave_reports = 0
             member.last_heard_at = heard_at
         elif heard_at < member.last_heard_at:
@@ -393,12 +439,14 @@
         if member.instance != instance or member.ready != report.ready:
             member.instance = instance
             member.ready = report.ready
+            member.last_rows = None
             self._record_change()
 
     def _record_change(self) -> None:
         self._change_count += 1
         self._live_members_until = -math.inf
         self._ranked_zone = self._representatives = None
+        self._members_by_host = None
 
     def _get_live_members(self) -> list[Member]:
         """Return the live members, cached for up to ``LIVE_CACHE_S``."""
@@ -407,7 +455,8 @@
             found = [
                 member
                 for member in self._members.values()
-                if self._is_live(member)
+                if member.instance.state is State.LIVE
+                and not self._is_lost(member, now)
             ]
             if found != self._live_members:
                 self._live_members = found
@@ -417,12 +466,12 @@
 
     def _is_live(self, member: Member) -> bool:
         return member.instance.state is State.LIVE and not self._is_lost(
-            member
+            member, self._clock()
         )
 
-    def _is_lost(self, member: Member) -> bool:
+    def _is_lost(self, member: Member, now: float) -> bool:
         """Return whether heartbeats from or about a member stopped."""
-        age = self._clock() - member.last_heard_at
+        age = now - member.last_heard_at
         limit = LOSS_PERIODS * self.period_s
         if member.instance.zone != self.instance.zone:
             # Representatives report the daemons of other zones once a
@@ -483,6 +532,7 @@
         for name, member in list(self._members.items()):
             if now - member.last_heard_at > MEMBER_EXPIRY_S:
                 del self._members[name]
+                self._members_by_host = None
 
     def _list_discovery_hosts(self) -> list[str]:
         """Return addresses of seeds and of daemons to contact again.
