Poll for disconnects twice as often before the first connection

Cause: the poll sleeps until a tick, which may be a tenth of the interval later than the interval itself, so that a disconnect right after a start was noticed after 0.22 s at most, before 0.2 s. One run of test_queued_request_is_dropped_after_client_disconnect failed so (load 15).

Change: the interval without connections is 0.1 s, a tick that the member's other tasks share.

--- a/src/hawthornmast/forwarding/server.py
+++ b/src/hawthornmast/forwarding/server.py
@@ -36,7 +36,7 @@
 # Maximum delay between a client's disconnect and the cancellation of its
 # request. Polling all sockets is cheaper than a reading task per request.
 _POLL_INTERVAL_S = 0.05
-_IDLE_POLL_INTERVAL_S = 0.2
+_IDLE_POLL_INTERVAL_S = 0.1
 _POOL_CLEANUP_INTERVAL_S = 1.0
 _DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 _CONNECTION_LIMIT_RESPONSE = (
