Add drills of a store that returns to an older copy

Cause: members order lists and configurations by the store's counters alone, and nothing tried a store whose counters go back.

Change: the stand-in of the store and the simulated platform take a copy and return to it in a new era; the stand-in names the era in all responses and answers 410 to a watch from an unknown revision.

--- a/src/hawthornmast/gateway/tests/fleet.py
+++ b/src/hawthornmast/gateway/tests/fleet.py
@@ -30,6 +30,9 @@
 NETWORK_DELAY_S = 0.002
 READ_DELAY_S = 0.008
 
+STARTED_MS = 1_787_203_747_216
+"""Start time of all upstreams."""
+
 
 class Platform:
     """The platform of a simulated fleet.
@@ -50,7 +53,9 @@
         self.revision = 1
         self.configuration = make_configuration()
         self.entries = {
-            f"u{number}": make_listed_upstream(f"u{number}")
+            f"u{number}": make_listed_upstream(
+                f"u{number}", started_ms=STARTED_MS
+            )
             for number in range(upstream_count)
         }
         self.refused: set[str] = set()
@@ -58,6 +63,7 @@
         self.paused: set[str] = set()
         self.read_delay_s = READ_DELAY_S
         self.calls = 0
+        self.era = 0
 
     def mark_leaving(self, name: str) -> None:
         """Apply an upstream's announcement that it leaves."""
@@ -72,6 +78,29 @@
         del self.entries[name]
         self.revision += 1
 
+    def put_upstream(self, name: str) -> None:
+        """Write the entry of a live upstream, also again."""
+        self.entries[name] = make_listed_upstream(name, started_ms=STARTED_MS)
+        self.revision += 1
+
+    def put_configuration(self, configuration: Configuration) -> None:
+        """Write a configuration."""
+        self.revision += 1
+        self.configuration = configuration
+
+    def take_copy(self) -> dict[str, Any]:
+        """Return a copy of what the platform stores."""
+        return {
+            "revision": self.revision,
+            "configuration": self.configuration,
+            "entries": dict(self.entries),
+        }
+
+    def restore(self, copy: dict[str, Any]) -> None:
+        """Return to a copy in a new era."""
+        vars(self).update(copy, entries=dict(copy["entries"]))
+        self.era += 1
+
 
 class PlatformReader:
     """Reads of one member."""
--- a/src/hawthornmast/gateway/tests/support.py
+++ b/src/hawthornmast/gateway/tests/support.py
@@ -1,7 +1,9 @@
 """Helpers shared by the tests of the gateway."""
 
 import random
+from typing import Any
 
+import attrs
 from result import Err
 from result import Ok
 from result import Result
@@ -22,8 +24,11 @@
 from hawthornmast.routing import Target
 
 
-def make_configuration(version: int = 1) -> Configuration:
-    """Return a configuration with the services ``boxes`` and ``billing``."""
+def make_configuration(version: int = 1, **changes: Any) -> Configuration:
+    """Return a configuration with the services ``boxes`` and ``billing``.
+
+    ``changes`` override its fields.
+    """
     routes = tuple(
         Route(
             name=f"{service}-route",
@@ -37,19 +42,27 @@
         )
         for service in ("boxes", "billing")
     )
-    return Configuration(
+    configuration = Configuration(
         version=version,
         routes=routes,
         services=(ServiceOptions(name="boxes", connections=77),),
     )
+    return attrs.evolve(configuration, **changes)
 
 
-def make_listed_upstream(name: str, service: str = "boxes") -> ListedUpstream:
+def make_listed_upstream(
+    name: str, service: str = "boxes", *, started_ms: int = 0
+) -> ListedUpstream:
     """Return a listed upstream."""
     return ListedUpstream(
         service=service,
         upstream=Upstream(
-            upstream_id=name, zone="a", host="127.0.0.1", port=1, slots=2
+            upstream_id=name,
+            zone="a",
+            host="127.0.0.1",
+            port=1,
+            slots=2,
+            started_ms=started_ms,
         ),
     )
 
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -16,6 +16,7 @@
 import pathlib
 from typing import Any
 
+import attrs
 import trio
 
 from hawthornmast import http
@@ -76,11 +77,14 @@
         Maximum number of items in a response to a range request.
     calls
         Targets of all requests received.
+    era
+        Value of ``Store-Era`` in all responses; 0 for a store without it.
     """
 
     def __init__(self) -> None:
         self.items: dict[str, dict[str, Any]] = {}
         self.revision = 100
+        self.era: int | str = 0
         self.fault = ""
         self.page_size = 500
         self.calls: list[str] = []
@@ -115,6 +119,15 @@
         self.revision += 1
         self.items.pop(key, None)
 
+    def take_copy(self) -> tuple[dict[str, dict[str, Any]], int]:
+        """Return a copy of the items, and the revision."""
+        return dict(self.items), self.revision
+
+    def restore(self, copy: tuple[dict[str, dict[str, Any]], int]) -> None:
+        """Return to a copy in a new era; its revisions are assigned again."""
+        self.items, self.revision = dict(copy[0]), copy[1]
+        self.era = int(self.era) + 1
+
     def put_upstream(
         self, name: str, service: str, address: str, **changes: Any
     ) -> None:
@@ -137,6 +150,13 @@
 
     async def _handle(self, request: http.Request) -> http.Response:
         self.calls.append(request.target)
+        response = await self._answer(request)
+        if not self.era:
+            return response
+        era = ("Store-Era", str(self.era))
+        return attrs.evolve(response, headers=(*response.headers, era))
+
+    async def _answer(self, request: http.Request) -> http.Response:
         if self.fault == "no-response":
             await trio.sleep_forever()
         if self.fault in ("unavailable", "rate-limited"):
@@ -152,6 +172,10 @@
             return http.json_response({**item, "StoreRevision": self.revision})
         if request.path == "/hawthornmast/kv-range":
             return self._handle_range(request.query)
+        if request.path == "/hawthornmast/kv-watch":
+            # Members use no watches, so that only the refusal is served.
+            known = int(request.query["after"]) <= self.revision
+            return http.json_response({}, status=501 if known else 410)
         return http.json_response({}, status=404)
 
     def _handle_range(self, query: dict[str, str]) -> http.Response:
