Order the list of upstreams by era and revision

Cause: a list of a lower revision was ignored although the platform had returned to an older copy, and nothing told a process that had left from one that the copy lists as ready.

Change: EraRevision orders a counter by the platform's era first.

--- a/src/hawthornmast/common/__init__.py
+++ b/src/hawthornmast/common/__init__.py
@@ -6,8 +6,10 @@
 from hawthornmast.common.instances import Upstream
 from hawthornmast.common.outcomes import Outcome
 from hawthornmast.common.ranks import Rank
+from hawthornmast.common.revisions import EraRevision
 
 __all__ = [
+    "EraRevision",
     "Instance",
     "Outcome",
     "Rank",
--- a/src/hawthornmast/membership/entries.py
+++ b/src/hawthornmast/membership/entries.py
@@ -9,6 +9,7 @@
 import attrs
 import msgpack
 
+from hawthornmast.common import EraRevision
 from hawthornmast.common import State
 from hawthornmast.common import Upstream
 
@@ -33,10 +34,18 @@
         Name of the service.
     upstream
         Its address, zone, slots, state and start time.
+    revision
+        Revision of the platform at which the entry was written; 0 if it
+        comes from another daemon.
+    sequence
+        Number of the upstream's write of its entry; 0 when unknown.
     """
 
     service: str
     upstream: Upstream
+    # Upstreams write again without a change of what the entry says.
+    revision: int = attrs.field(default=0, eq=False)
+    sequence: int = attrs.field(default=0, eq=False)
 
     def __attrs_post_init__(self) -> None:
         upstream = self.upstream
@@ -95,10 +104,18 @@
         Revision of the platform at the time of the read.
     entries
         All valid entries.
+    era
+        Era of the platform.
     """
 
     revision: int
     entries: tuple[ListedUpstream, ...]
+    era: int = 0
+
+    @property
+    def position(self) -> EraRevision:
+        """Era and revision of the platform."""
+        return EraRevision(self.era, self.revision)
 
 
 def digest_entries(entries: Iterable[ListedUpstream]) -> bytes:
