Order the state of members by the platform's era

Cause: a configuration of a lower version or of the same version with another content was ignored for good, and a peer's state was compared by counters that the platform assigns again.

Change: the store's era is read from all of its responses; a malformed or lower one is logged and refused, as are pages of different eras. What a new process has read of a copy replaces nothing on others.

Tests changed: test_store.py reads the version from PublishedConfiguration, which the source returns now.

--- a/src/hawthornmast/gateway/calls.py
+++ b/src/hawthornmast/gateway/calls.py
@@ -10,7 +10,7 @@
 from hawthornmast.audit import log_event
 from hawthornmast.common import StepError
 from hawthornmast.membership.entries import UpstreamSnapshot
-from hawthornmast.routing import Configuration
+from hawthornmast.routing import PublishedConfiguration
 
 # Operators know the lines by this name.
 _LOG = logging.getLogger("hawthornmast.gateway.sources")
@@ -31,7 +31,7 @@
 
     async def read_configuration(
         self, *, timeout_s: float
-    ) -> Result[Configuration | None, StepError]:
+    ) -> Result[PublishedConfiguration | None, StepError]:
         """Return the latest configuration; None if there is none yet."""
 
 
--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -36,6 +36,7 @@
 from hawthornmast.gateway.shares import compute_retry_slack
 from hawthornmast.gateway.shares import FleetPosition
 from hawthornmast.gateway.snapshots import decode_summary
+from hawthornmast.gateway.snapshots import encode_summary
 from hawthornmast.gateway.snapshots import SNAPSHOT_PATH
 from hawthornmast.gateway.sources import StateSynchronizer
 from hawthornmast.gateway.statements import encode_statements
@@ -377,7 +378,7 @@
         )
 
     def _encode_summary(self) -> list[Any]:
-        return list(attrs.astuple(self.synchronizer.summarize()))
+        return encode_summary(self.synchronizer.summarize())
 
     def _handle_datagram(
         self, kind: MessageKind, payload: Any, sender: str
--- a/src/hawthornmast/gateway/sources.py
+++ b/src/hawthornmast/gateway/sources.py
@@ -5,7 +5,9 @@
 (``reading``). A member that has read the platform announces a summary of its
 state to its zone and to the representatives of the other zones, which pass it
 on to their zones. Every member pulls state from a peer whose state is newer,
-as a snapshot with the list and, if needed, the configuration.
+as a snapshot with the list and, if needed, the configuration. Newer means a
+later era of the platform first: when the platform returns to an older copy,
+its counters go back, and what members of an earlier era send changes nothing.
 
 The configuration is polled although the store of a platform may offer watches
 (streams of changes): a watch that has stalled can't be told from one without
@@ -17,10 +19,8 @@
 import logging
 import random
 from typing import Any
-import zlib
+from typing import TypeVar
 
-import attrs
-import msgpack
 from result import Err
 from result import Ok
 from result import Result
@@ -29,6 +29,7 @@
 from hawthornmast.audit import describe_error
 from hawthornmast.audit import log_event
 from hawthornmast.audit import log_failures
+from hawthornmast.common import EraRevision
 from hawthornmast.common import Instance
 from hawthornmast.common import StepError
 from hawthornmast.gateway.calls import CallRecorder
@@ -42,13 +43,15 @@
 from hawthornmast.gateway.reading import MAX_READ_RANK
 from hawthornmast.gateway.reading import ReadSchedule
 from hawthornmast.gateway.snapshots import decode_snapshot
+from hawthornmast.gateway.snapshots import encode_snapshot
+from hawthornmast.gateway.snapshots import EraSummary
 from hawthornmast.gateway.snapshots import fetch_snapshot
 from hawthornmast.gateway.snapshots import StateSnapshot
 from hawthornmast.gateway.snapshots import StateSummary
+from hawthornmast.gateway.versions import ConfigurationState
 from hawthornmast.membership.gossip import Gossip
 from hawthornmast.membership.listing import UpstreamListing
 from hawthornmast.routing import Configuration
-from hawthornmast.routing import encode_configuration
 
 _LOG = logging.getLogger("hawthornmast.gateway.sources")
 
@@ -70,6 +73,12 @@
 
 PULL_STALE_AGE_S = 1.6
 
+COMPARISON_INTERVAL_S = 1.0
+"""Interval at which a member compares with peers which upstreams it holds back
+after a new era of the platform."""
+
+_T = TypeVar("_T")
+
 
 SnapshotFetcher = Callable[
     [Instance, int], Awaitable[Result[bytes, StepError]]
@@ -150,17 +159,26 @@
         )
         self._pulling = False
         self._next_pull_at = 0.0
-        # Version and compressed bytes of the configuration last sent to a
-        # peer.
-        self._compressed_configuration = (0, b"")
-        self.configuration: Configuration | None = None
+        self._eras = listing.eras
+        self._state = ConfigurationState(self._eras, clock=trio.current_time)
+        self._next_comparison_at = 0.0
         self.configuration_gap_s = 0.0
         self.platform_calls = CallRecorder()
 
+    @property
+    def configuration(self) -> Configuration | None:
+        """The configuration in force."""
+        return self._state.configuration
+
     @property
     def version(self) -> int:
         """Version of the configuration in force, 0 if there is none."""
-        return self.configuration.version if self.configuration else 0
+        return self._state.version
+
+    @property
+    def era(self) -> int:
+        """The newest era of the platform that this member knows."""
+        return self._eras.era
 
     @property
     def uninitialized(self) -> bool:
@@ -177,6 +195,25 @@
             listing_age_s=self._listing_reads.age_s(),
             configuration_read=self._configuration_reads.read_id,
             listing_read=self._listing_reads.read_id,
+            eras=self._summarize_eras(),
+        )
+
+    def _summarize_eras(self) -> EraSummary:
+        """Return what is stated of the era of the list.
+
+        The member may know of a newer era, of which it has no list yet.
+        """
+        listing = self._listing
+        era = listing.position.era
+        if not era:
+            return EraSummary()
+        is_newest = era == self._eras.era
+        return EraSummary(
+            era=era,
+            first_revision=self._eras.first_revision if is_newest else None,
+            configuration_era=self._state.order.era,
+            configuration_digest=self._state.digest(),
+            held_digest=listing.departures.digest,
         )
 
     async def run(self) -> None:
@@ -199,25 +236,42 @@
         """Pull newer state from a peer, or take over its confirmation."""
         listing = self._listing
         now = trio.current_time()
-        if summary.version == self.version:
+        eras = summary.eras
+        if not self._learn_eras(eras, sender):
+            return
+        order = EraRevision(eras.configuration_era, summary.version)
+        if self._state.is_same(summary.version, eras.configuration_digest):
+            self._state.promote(order, eras.configuration_digest)
             self._configuration_reads.learn(
                 summary.configuration_read, now - summary.configuration_age_s
             )
-        has_newer_list = summary.revision > listing.revision or (
-            summary.revision == listing.revision
+        has_newer_configuration = order > self._state.order
+        position = EraRevision(eras.era, summary.revision)
+        has_newer_list = position > listing.position or (
+            position == listing.position
             and summary.listing_age_s < now - listing.confirmed_at
         )
-        if summary.version > self.version or (
-            summary.digest
-            and summary.digest != listing.digest
-            and has_newer_list
+        if (
+            has_newer_configuration
+            or (
+                summary.digest
+                and summary.digest != listing.digest
+                and has_newer_list
+            )
+            or self._holds_back_others(eras)
         ):
             if not self._pulling:
                 self._pulling = True
-                nursery.start_soon(self._pull, sender)
+                self._next_comparison_at = now + COMPARISON_INTERVAL_S
+                # The peer leaves out the version that it is asked with, and
+                # a newer era may have given it to another configuration.
+                version = self.version
+                if has_newer_configuration and summary.version <= version:
+                    version = 0
+                nursery.start_soon(self._pull, sender, version)
             return
         previously_confirmed_at = listing.confirmed_at
-        if listing.confirm(summary.revision, summary.digest):
+        if listing.confirm(summary.revision, summary.digest, era=eras.era):
             self._learn_listing_read(
                 summary.listing_read, now - summary.listing_age_s
             )
@@ -228,6 +282,23 @@
             ):
                 self._relay()
 
+    def _learn_eras(self, eras: EraSummary, peer: Instance) -> bool:
+        """Learn of the era of a peer; return whether it isn't an older one."""
+        if eras.era < self._eras.era:
+            return False
+        self._eras.learn(eras.era, origin=peer.instance_id)
+        if eras.era and eras.first_revision is not None:
+            self._eras.learn_first_revision(eras.first_revision)
+        return True
+
+    def _holds_back_others(self, eras: EraSummary) -> bool:
+        """Return whether a peer may know of other upstreams that left."""
+        return (
+            eras.era == self._listing.position.era
+            and eras.held_digest != self._listing.departures.digest
+            and trio.current_time() >= self._next_comparison_at
+        )
+
     def encode_state_snapshot(
         self, version: int, *, with_reads: bool = True
     ) -> bytes:
@@ -242,38 +313,34 @@
             Add the identifier of the read that confirmed the list. Earlier
             versions don't ask for it and refuse it.
         """
-        compressed = self._compress() if self.version > version else None
-        age = self._listing_reads.age_s()
-        encoded_list = (
-            self._listing.encode() if self._listing.is_loaded else None
+        listing = self._listing
+        return encode_snapshot(
+            compressed=(
+                self._state.compress() if self.version > version else None
+            ),
+            encoded_list=listing.encode() if listing.is_loaded else None,
+            listing_age_s=self._listing_reads.age_s(),
+            listing_read=self._listing_reads.read_id,
+            eras=self._summarize_eras(),
+            departures=listing.departures.encode(),
+            with_reads=with_reads,
         )
-        fields: list[Any] = [compressed, encoded_list, age]
-        if with_reads:
-            read_id = self._listing_reads.read_id
-            fields.append(None if read_id is None else attrs.astuple(read_id))
-        packed: bytes = msgpack.packb(fields)
-        return packed
-
-    def _compress(self) -> bytes:
-        """Return the compressed configuration, cached for each version."""
-        configuration = self.configuration
-        assert configuration is not None
-        if self._compressed_configuration[0] != configuration.version:
-            packed = msgpack.packb(encode_configuration(configuration))
-            self._compressed_configuration = (
-                configuration.version,
-                zlib.compress(packed, 1),
-            )
-        return self._compressed_configuration[1]
 
-    def accept(self, configuration: Configuration, origin: str) -> bool:
-        """Apply a configuration if it is newer than the one in force."""
-        if configuration.version <= self.version:
+    def accept(
+        self, configuration: Configuration, origin: str, *, era: int = 0
+    ) -> bool:
+        """Apply a configuration if it is newer than the one in force.
+
+        Parameters
+        ----------
+        era
+            Era in which it is known to be the operator's newest.
+        """
+        gap_s = self._configuration_reads.age_s() if self.version else 0.0
+        order = EraRevision(era, configuration.version)
+        if not self._state.offer(configuration, order):
             return False
-        self.configuration_gap_s = (
-            self._configuration_reads.age_s() if self.version else 0.0
-        )
-        self.configuration = configuration
+        self.configuration_gap_s = gap_s
         self._on_configuration(configuration, origin)
         return True
 
@@ -315,7 +382,8 @@
             others = others + self._gossip.zone_peers()
             if others:
                 self._pulling = True
-                nursery.start_soon(self._pull, self._random.choice(others))
+                peer = self._random.choice(others)
+                nursery.start_soon(self._pull, peer, self.version)
 
     async def _read(self, read_rank: int, due: DueReads) -> None:
         before = self._confirmation_times()
@@ -345,10 +413,13 @@
     async def _read_listing(self) -> bool:
         asked_at = trio.current_time()
         result = await self._source.read_listing(timeout_s=READ_TIMEOUT_S)
+        result = result.and_then(
+            lambda value: self._refuse_older(value, value.era)
+        )
         if not self.platform_calls.record(result):
             return False
         snapshot = result.unwrap()
-        is_current = snapshot.revision >= self._listing.revision
+        is_current = snapshot.position >= self._listing.position
         changed = self._listing.apply_snapshot(snapshot, asked_at=asked_at)
         if is_current:
             self._listing_reads.record_read(asked_at)
@@ -362,23 +433,37 @@
         result = await self._source.read_configuration(
             timeout_s=READ_TIMEOUT_S
         )
+        result = result.and_then(
+            lambda value: self._refuse_older(
+                value, value.position.era if value else self._eras.era
+            )
+        )
         if not self.platform_calls.record(result):
             return False
-        configuration = result.unwrap()
-        if configuration is not None:
-            self.accept(configuration, "platform")
-            if configuration.version == self.version:
+        published = result.unwrap()
+        if published is not None:
+            self._eras.observe(published.position)
+            order = self._state.order_published(published)
+            self.accept(published.configuration, "platform", era=order.era)
+            if self._state.confirms(published):
                 self._configuration_reads.record_read(asked_at)
         return True
 
-    async def _pull(self, peer: Instance) -> None:
+    def _refuse_older(self, value: _T, era: int) -> Result[_T, StepError]:
+        """Refuse what was read of an era before the newest known one."""
+        if era >= self._eras.era:
+            return Ok(value)
+        detail = f"era {era} is older than {self._eras.era}"
+        return Err(StepError(step="read", detail=detail))
+
+    async def _pull(self, peer: Instance, version: int) -> None:
         with log_failures("pull"):
-            await self._pull_state(peer)
+            await self._pull_state(peer, version)
         self._pulling = False
 
-    async def _pull_state(self, peer: Instance) -> None:
+    async def _pull_state(self, peer: Instance, version: int) -> None:
         asked_at = trio.current_time()
-        result = await self._fetch_snapshot(peer, self.version)
+        result = await self._fetch_snapshot(peer, version)
         if isinstance(result, Err):
             log_event(
                 _LOG,
@@ -400,9 +485,15 @@
         detail = decoded.err()
         if isinstance(decoded, Ok):
             snapshot = decoded.ok_value
-            if snapshot.configuration is not None:
-                self.accept(snapshot.configuration, peer.instance_id)
             try:
+                if not self._learn_eras(snapshot.eras, peer):
+                    return
+                if snapshot.configuration is not None:
+                    self.accept(
+                        snapshot.configuration,
+                        peer.instance_id,
+                        era=snapshot.eras.configuration_era,
+                    )
                 self._apply_peer_list(snapshot, peer, asked_at=asked_at)
             except (ValueError, TypeError, IndexError) as error:
                 detail = describe_error(error)
@@ -424,21 +515,23 @@
         Raises ValueError, TypeError or IndexError if it is malformed.
         """
         listing = self._listing
+        era = snapshot.eras.era
+        if snapshot.departures is not None:
+            listing.departures.merge(snapshot.departures)
         # The peer stated the age after it was asked.
         confirmed_at = asked_at - snapshot.listing_age_s
-        if snapshot.encoded_list is None:
-            return
-        revision = int(snapshot.encoded_list[0])
-        if revision < listing.revision or (
-            revision == listing.revision
-            and confirmed_at <= listing.confirmed_at
-        ):
-            return
-        changed = listing.apply_peer_list(
-            snapshot.encoded_list, confirmed_at=confirmed_at
-        )
-        self._learn_listing_read(snapshot.listing_read, confirmed_at)
-        if changed:
+        changed = False
+        if snapshot.encoded_list is not None:
+            position = EraRevision(era, int(snapshot.encoded_list[0]))
+            if position > listing.position or (
+                position == listing.position
+                and confirmed_at > listing.confirmed_at
+            ):
+                changed = listing.apply_peer_list(
+                    snapshot.encoded_list, confirmed_at=confirmed_at, era=era
+                )
+                self._learn_listing_read(snapshot.listing_read, confirmed_at)
+        if listing.refresh() or changed:
             self._on_listing(peer.instance_id)
 
     def _learn_listing_read(
--- a/src/hawthornmast/gateway/tests/fleet.py
+++ b/src/hawthornmast/gateway/tests/fleet.py
@@ -11,6 +11,7 @@
 from result import Result
 import trio
 
+from hawthornmast.common import EraRevision
 from hawthornmast.common import Instance
 from hawthornmast.common import State
 from hawthornmast.common import StepError
@@ -26,6 +27,7 @@
 from hawthornmast.platform.headers import PlatformClientDialect
 from hawthornmast.platform.headers import PlatformUpstreamDialect
 from hawthornmast.routing import Configuration
+from hawthornmast.routing import PublishedConfiguration
 
 NETWORK_DELAY_S = 0.002
 READ_DELAY_S = 0.008
@@ -64,6 +66,7 @@
         self.read_delay_s = READ_DELAY_S
         self.calls = 0
         self.era = 0
+        self.written = 1
 
     def mark_leaving(self, name: str) -> None:
         """Apply an upstream's announcement that it leaves."""
@@ -80,19 +83,25 @@
 
     def put_upstream(self, name: str) -> None:
         """Write the entry of a live upstream, also again."""
-        self.entries[name] = make_listed_upstream(name, started_ms=STARTED_MS)
         self.revision += 1
+        self.entries[name] = attrs.evolve(
+            make_listed_upstream(name, started_ms=STARTED_MS),
+            revision=self.revision,
+            sequence=self.revision,
+        )
 
     def put_configuration(self, configuration: Configuration) -> None:
         """Write a configuration."""
         self.revision += 1
         self.configuration = configuration
+        self.written = self.revision
 
     def take_copy(self) -> dict[str, Any]:
         """Return a copy of what the platform stores."""
         return {
             "revision": self.revision,
             "configuration": self.configuration,
+            "written": self.written,
             "entries": dict(self.entries),
         }
 
@@ -117,16 +126,23 @@
             lambda: UpstreamSnapshot(
                 revision=self._platform.revision,
                 entries=tuple(self._platform.entries.values()),
+                era=self._platform.era,
             ),
             timeout_s,
         )
 
     async def read_configuration(
         self, *, timeout_s: float
-    ) -> Result[Configuration | None, StepError]:
+    ) -> Result[PublishedConfiguration | None, StepError]:
         """Return the configuration."""
+        platform = self._platform
         return await self._read(
-            lambda: self._platform.configuration, timeout_s
+            lambda: PublishedConfiguration(
+                configuration=platform.configuration,
+                position=EraRevision(platform.era, platform.revision),
+                written=platform.written,
+            ),
+            timeout_s,
         )
 
     async def _read(
@@ -190,6 +206,8 @@
         Members that neither send nor receive.
     stalled
         Members that stand still. Datagrams to them wait in their sockets.
+    pulls
+        Number of snapshots that members asked for.
     """
 
     def __init__(
@@ -204,7 +222,9 @@
         self.platform = Platform(upstream_count)
         self.dark: set[str] = set()
         self.stalled: set[str] = set()
+        self.pulls = 0
         self._waiting: dict[str, list[Callable[[], None]]] = {}
+        self._scopes: dict[str, list[trio.CancelScope]] = {}
         self.members: dict[str, GatewayMember] = {}
         transport = type("Transport", (SimulatedTransport,), {"fleet": self})
         monkeypatch.setattr(member_module, "DatagramTransport", transport)
@@ -234,6 +254,13 @@
         ]
         return [host for _, host in sorted(keyed)]
 
+    def restart(self, host: str) -> None:
+        """End the process of a member and start one with no memory."""
+        options = self.members[host].options
+        for scope in self._scopes[host]:
+            scope.cancel()
+        self._start(host, options.instance.zone, seeds=options.seeds)
+
     async def deliver(
         self, sender: str, host: str, kind: MessageKind, payload: Any
     ) -> None:
@@ -272,7 +299,7 @@
             Members that are waited for.
         """
         started_at = trio.current_time()
-        self.platform.configuration = make_configuration(version)
+        self.platform.put_configuration(make_configuration(version))
         while any(
             self.members[host].synchronizer.version < version for host in hosts
         ):
@@ -327,8 +354,16 @@
             host, member._run_periodic_step
         )
         self.members[host] = member
-        self.nursery.start_soon(member.synchronizer.run)
-        self.nursery.start_soon(member._run_periodic_tasks)
+        self._scopes[host] = []
+        for task in (member.synchronizer.run, member._run_periodic_tasks):
+            scope = trio.CancelScope()
+            self._scopes[host].append(scope)
+            self.nursery.start_soon(self._run_task, scope, task)
+
+    @staticmethod
+    async def _run_task(scope: trio.CancelScope, task: Any) -> None:
+        with scope:
+            await task()
 
     def _skip_while_stalled(self, host: str, step: Any) -> Any:
         def run(*arguments: Any) -> None:
@@ -341,6 +376,7 @@
         async def fetch(
             peer: Instance, version: int
         ) -> Result[bytes, StepError]:
+            self.pulls += 1
             if {peer.host, receiver} & self.dark:
                 await trio.sleep(PULL_TIMEOUT_S)
                 return Err(StepError(step="connect", detail="no answer"))
--- a/src/hawthornmast/gateway/tests/support.py
+++ b/src/hawthornmast/gateway/tests/support.py
@@ -9,6 +9,7 @@
 from result import Result
 import trio
 
+from hawthornmast.common import EraRevision
 from hawthornmast.common import Instance
 from hawthornmast.common import StepError
 from hawthornmast.common import Upstream
@@ -19,6 +20,7 @@
 from hawthornmast.membership.entries import UpstreamSnapshot
 from hawthornmast.membership.gossip import Gossip
 from hawthornmast.routing import Configuration
+from hawthornmast.routing import PublishedConfiguration
 from hawthornmast.routing import Route
 from hawthornmast.routing import ServiceOptions
 from hawthornmast.routing import Target
@@ -108,6 +110,8 @@
         self.snapshot = UpstreamSnapshot(
             revision=5, entries=(make_listed_upstream("u1"),)
         )
+        # Era of all that it returns.
+        self.era = 0
         self.down = False
         self.without_configuration = False
         self.delay_s = 0.0
@@ -119,19 +123,26 @@
         """Return the list of upstreams."""
         del timeout_s
         self.calls.append("listing")
-        answer = self._answer(self.snapshot)
+        answer = self._answer(attrs.evolve(self.snapshot, era=self.era))
         await trio.sleep(self.delay_s)
         return answer
 
     async def read_configuration(
         self, *, timeout_s: float
-    ) -> Result[Configuration | None, StepError]:
+    ) -> Result[PublishedConfiguration | None, StepError]:
         """Return the configuration."""
         del timeout_s
         self.calls.append("configuration")
         if self.without_configuration:
             return Err(StepError(step="read", detail="no answer"))
-        return self._answer(self.configuration)
+        if self.configuration is None:
+            return self._answer(None)
+        position = EraRevision(self.era, self.snapshot.revision)
+        return self._answer(
+            PublishedConfiguration(
+                configuration=self.configuration, position=position
+            )
+        )
 
     def _answer(self, value):
         if self.down:
--- a/src/hawthornmast/platform/names.py
+++ b/src/hawthornmast/platform/names.py
@@ -18,6 +18,8 @@
 AUTHORIZATION = b"authorization"
 # Name of the team that holds the client's key, in requests to upstreams.
 TEAM = b"hawthornmast-tenant"
+# In responses of the store: increases when it returns to an older copy.
+STORE_ERA = "store-era"
 
 # Endpoints.
 RESOLVE = "/hawthornmast/resolve"
--- a/src/hawthornmast/platform/store.py
+++ b/src/hawthornmast/platform/store.py
@@ -1,6 +1,8 @@
 """Client of the platform's key-value store."""
 
 import logging
+import re
+import reprlib
 from typing import Any
 import urllib.parse
 
@@ -12,18 +14,22 @@
 from hawthornmast import http
 from hawthornmast.audit import describe_error
 from hawthornmast.audit import log_event
+from hawthornmast.common import EraRevision
 from hawthornmast.common import StepError
 from hawthornmast.membership.entries import ListedUpstream
 from hawthornmast.membership.entries import MAX_NAME_LENGTH
 from hawthornmast.membership.entries import UpstreamSnapshot
 from hawthornmast.platform import names
 from hawthornmast.platform import values
-from hawthornmast.routing import Configuration
+from hawthornmast.routing import PublishedConfiguration
 
 _LOG = logging.getLogger("hawthornmast.platform.store")
 
 MAX_PAGES = 200
 
+_ERA_PATTERN = re.compile(r"[0-9]{1,18}")
+"""At most 18 digits, which fit into a message between members."""
+
 _DECODING_ERRORS = (
     ValueError,
     KeyError,
@@ -52,6 +58,8 @@
         # would end the process.
         self._lock = trio.Lock()
         self._rejected_revisions: dict[str, int] = {}
+        self._era = 0
+        self._refused_era: str | None = None
 
     async def read_listing(
         self, *, timeout_s: float
@@ -59,22 +67,30 @@
         """Return a snapshot of the upstreams listed in the store."""
         entries: list[ListedUpstream] = []
         revision = 0
+        eras: set[int] = set()
         query = {"PathPrefix": names.UPSTREAMS_PREFIX}
         for _ in range(MAX_PAGES):
             done = await self._call(names.STORE_RANGE, query, timeout_s)
             if isinstance(done, Err):
                 return done
+            era, page = done.ok_value
+            eras.add(era)
+            if len(eras) > 1:
+                detail = f"pages of different eras: {sorted(eras)}"
+                return Err(StepError(step="read-listing", detail=detail))
             try:
-                items = done.ok_value["items"]
+                items = page["items"]
                 # Pages are read at different revisions. All of them include
                 # the changes up to the revision of the first one.
-                revision = revision or int(done.ok_value["StoreRevision"])
+                revision = revision or int(page["StoreRevision"])
                 for item in items:
                     self._add_entry(entries, item)
-                if not done.ok_value.get("Truncated") or not items:
+                if not page.get("Truncated") or not items:
                     return Ok(
                         UpstreamSnapshot(
-                            revision=revision, entries=tuple(entries)
+                            revision=revision,
+                            entries=tuple(entries),
+                            era=era,
                         )
                     )
                 query["after"] = items[-1]["Key"]
@@ -85,17 +101,26 @@
 
     async def read_configuration(
         self, *, timeout_s: float
-    ) -> Result[Configuration | None, StepError]:
+    ) -> Result[PublishedConfiguration | None, StepError]:
         """Return the current configuration, or None if there is none."""
         query = {"Key": names.CONFIGURATION_KEY}
         done = await self._call(
             names.STORE_ITEM, query, timeout_s, allow_missing=True
         )
-        if isinstance(done, Err) or done.ok_value is None:
+        if isinstance(done, Err):
             return done
+        era, item = done.ok_value
+        if item is None:
+            return Ok(None)
         try:
-            value = values.decode_value(done.ok_value)
-            return Ok(values.decode_configuration(value))
+            value = values.decode_value(item)
+            return Ok(
+                PublishedConfiguration(
+                    configuration=values.decode_configuration(value),
+                    position=EraRevision(era, int(item["StoreRevision"])),
+                    written=int(item["Revision"]),
+                )
+            )
         except _DECODING_ERRORS as error:
             return self._malformed_response(names.STORE_ITEM, error)
 
@@ -110,7 +135,8 @@
         timeout_s: float,
         *,
         allow_missing: bool = False,
-    ) -> Result[Any, StepError]:
+    ) -> Result[tuple[int, Any], StepError]:
+        """Return the era of a response and its parsed body."""
         # Keys of other writers may contain anything that JSON allows.
         encoded = urllib.parse.urlencode(
             query, safe="/", errors="surrogatepass"
@@ -121,8 +147,12 @@
         if isinstance(done, Err):
             return done
         response = done.ok_value
+        checked = self._check_era(response, path)
+        if isinstance(checked, Err):
+            return checked
+        era = checked.ok_value
         if response.status == 404 and allow_missing:
-            return Ok(None)
+            return Ok((era, None))
         if response.status != 200:
             return Err(
                 StepError(
@@ -132,10 +162,47 @@
                 )
             )
         try:
-            return Ok(response.json())
+            return Ok((era, response.json()))
         except (ValueError, RecursionError) as error:
             return self._malformed_response(path, error)
 
+    def _check_era(
+        self, response: http.Response, path: str
+    ) -> Result[int, StepError]:
+        """Return the era of a response; refuse a stale or malformed one.
+
+        Each refused value is logged once until another one is.
+        """
+        eras = [
+            value.strip()
+            for name, value in response.headers
+            if name.lower() == names.STORE_ERA
+        ]
+        text = ", ".join(dict.fromkeys(eras)) if eras else "0"
+        if _ERA_PATTERN.fullmatch(text) is None:
+            detail = f"era is {reprlib.repr(text)}, allowed: one integer"
+        elif int(text) < self._era:
+            detail = f"era {text} is older than {self._era}"
+        else:
+            self._era = int(text)
+            return Ok(self._era)
+        if text != self._refused_era:
+            self._refused_era = text
+            log_event(
+                _LOG,
+                "store-era-refused",
+                level=logging.WARNING,
+                detail=detail,
+                peer=self._client.peer,
+            )
+        return Err(
+            StepError(
+                step=path.rpartition("/")[2],
+                detail=detail,
+                peer=self._client.peer,
+            )
+        )
+
     def _malformed_response(
         self, path: str, error: Exception
     ) -> Err[StepError]:
--- a/src/hawthornmast/platform/tests/test_store.py
+++ b/src/hawthornmast/platform/tests/test_store.py
@@ -5,6 +5,8 @@
 import pytest
 import trio
 
+from hawthornmast import http
+from hawthornmast.common import EraRevision
 from hawthornmast.platform.store import PlatformStore
 from standins.deployment import make_configuration
 from standins.deployment import StoreStandIn
@@ -85,8 +87,8 @@
         standin.put("op/config", make_configuration(7))
         standin.put("op/config", make_configuration(12))
         result = await connect(standin).read_configuration(timeout_s=1)
-        configuration = result.unwrap()
-        assert configuration is not None and configuration.version == 12
+        published = result.unwrap()
+        assert published is not None and published.configuration.version == 12
 
     async def test_malformed_is_an_error(self, standin: StoreStandIn) -> None:
         standin.put("op/config", {"Version": 9})
@@ -109,3 +111,120 @@
             for _ in range(4):
                 nursery.start_soon(read)
         assert all(result.is_ok() for result in results)
+
+
+class TestEra:
+    """The store returns to older copies, each in a new era."""
+
+    async def test_store_without_eras_is_in_era_0(
+        self, standin: StoreStandIn
+    ) -> None:
+        standin.put("op/config", make_configuration())
+        store = connect(standin)
+        snapshot = (await store.read_listing(timeout_s=1)).unwrap()
+        published = (await store.read_configuration(timeout_s=1)).unwrap()
+        assert snapshot.era == 0
+        assert published is not None
+        assert published.position == EraRevision(0, 101)
+
+    async def test_read_after_a_return_to_a_copy(
+        self, standin: StoreStandIn
+    ) -> None:
+        standin.era = 1
+        standin.put_upstream("u1", "boxes", ADDRESS, Sequence=8)
+        copy = standin.take_copy()
+        standin.put_upstream("u2", "boxes", ADDRESS)
+        store = connect(standin)
+        before = (await store.read_listing(timeout_s=1)).unwrap()
+        standin.restore(copy)
+        standin.put("op/config", make_configuration(3))
+        after = (await store.read_listing(timeout_s=1)).unwrap()
+        published = (await store.read_configuration(timeout_s=1)).unwrap()
+        assert before.position == EraRevision(1, 102)
+        # The number was assigned again.
+        assert after.position == EraRevision(2, 102)
+        (entry,) = after.entries
+        assert (entry.revision, entry.sequence) == (101, 8)
+        assert published is not None
+        assert published.position == EraRevision(2, 102)
+        assert published.written == 102
+
+    @pytest.mark.parametrize(
+        "era", ["", "x", "-1", "+1", "1.0", "1, 2", "9" * 40]
+    )
+    async def test_malformed_era_is_refused_and_logged_once(
+        self,
+        standin: StoreStandIn,
+        caplog: pytest.LogCaptureFixture,
+        era: str,
+    ) -> None:
+        store = connect(standin)
+        standin.era = era
+        with caplog.at_level(logging.WARNING):
+            for _ in range(3):
+                assert (await store.read_listing(timeout_s=1)).is_err()
+        assert caplog.text.count("store-era-refused") == 1
+        standin.era = 1
+        assert (await store.read_listing(timeout_s=1)).is_ok()
+
+    @pytest.mark.parametrize("era", [0, 1])
+    async def test_lower_era_is_refused(
+        self, standin: StoreStandIn, era: int
+    ) -> None:
+        # Guards against a response of a stale copy of the store.
+        store = connect(standin)
+        standin.era = 2
+        assert (await store.read_listing(timeout_s=1)).is_ok()
+        standin.era = era
+        error = (await store.read_listing(timeout_s=1)).unwrap_err()
+        assert error.detail == f"era {era} is older than 2"
+        assert (await store.read_configuration(timeout_s=1)).is_err()
+
+    async def test_errors_and_missing_items_tell_the_era(
+        self, standin: StoreStandIn
+    ) -> None:
+        store = connect(standin)
+        standin.era = 3
+        standin.fault = "unavailable"
+        assert (await store.read_listing(timeout_s=1)).is_err()
+        standin.fault = ""
+        standin.era = 2
+        assert (await store.read_configuration(timeout_s=1)).is_err()
+
+    async def test_pages_of_different_eras_form_no_list(
+        self, standin: StoreStandIn
+    ) -> None:
+        # Guards against a list that is in part that of an older copy.
+        standin.page_size = 1
+        standin.era = 1
+        for number in range(3):
+            standin.put_upstream(f"u{number}", "boxes", ADDRESS)
+        copy = standin.take_copy()
+        handle_range = standin._handle_range
+
+        def handle_and_restore(query: dict[str, str]) -> http.Response:
+            response = handle_range(query)
+            if query.get("after") == "servers/u0":
+                standin.restore(copy)
+            return response
+
+        standin._handle_range = handle_and_restore  # type: ignore
+        store = connect(standin)
+        error = (await store.read_listing(timeout_s=1)).unwrap_err()
+        assert error.detail == "pages of different eras: [1, 2]"
+        standin._handle_range = handle_range  # type: ignore
+        snapshot = (await store.read_listing(timeout_s=1)).unwrap()
+        assert (snapshot.era, len(snapshot.entries)) == (2, 3)
+
+    async def test_watch_from_an_unknown_revision_is_gone(
+        self, standin: StoreStandIn
+    ) -> None:
+        # Guards against a stand-in that differs from the store; members use
+        # no watches.
+        response = await http.fetch(
+            "127.0.0.1",
+            standin.port,
+            "GET",
+            "/hawthornmast/kv-watch?after=101",
+        )
+        assert response.unwrap().status == 410
--- a/src/hawthornmast/platform/values.py
+++ b/src/hawthornmast/platform/values.py
@@ -186,6 +186,12 @@
     )
 
 
+def _read_counter(field: str, value: Any) -> int:
+    """Return a counter, 0 if it is missing or no integer."""
+    counter = value.get(field)
+    return counter if type(counter) is int else 0
+
+
 def decode_upstream(key: str, item: dict[str, Any]) -> ListedUpstream:
     """Decode an upstream from an item of the store.
 
@@ -211,4 +217,6 @@
             state=_STATES_BY_NAME[state],
             started_ms=value.get("born", 0),
         ),
+        revision=_read_counter("Revision", item),
+        sequence=_read_counter("Sequence", value),
     )
--- a/src/hawthornmast/routing/__init__.py
+++ b/src/hawthornmast/routing/__init__.py
@@ -9,10 +9,12 @@
 from hawthornmast.routing.configuration import ServiceOptions
 from hawthornmast.routing.configuration import Target
 from hawthornmast.routing.configuration import Team
+from hawthornmast.routing.published import PublishedConfiguration
 from hawthornmast.routing.splits import SplitBalancer
 
 __all__ = [
     "Configuration",
+    "PublishedConfiguration",
     "RequestLimits",
     "Route",
     "ServiceOptions",
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -151,7 +151,7 @@
     async def _handle(self, request: http.Request) -> http.Response:
         self.calls.append(request.target)
         response = await self._answer(request)
-        if not self.era:
+        if self.era == 0:
             return response
         era = ("Store-Era", str(self.era))
         return attrs.evolve(response, headers=(*response.headers, era))
