Check a key again whatever the configuration's version

Cause: a waiting request's key was checked again only if the version in force had changed, and a new era may give the same version to another configuration.

Change: the comparison is left out; the check is one lookup. A gauge tells the newest era.

--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -325,11 +325,10 @@
 
         A request that may have run gets the answer that it would have had.
         """
+        # A version isn't compared: another configuration may have it when
+        # the platform has returned to an older copy.
         configuration = self._provider.configuration
-        if (
-            configuration is None
-            or configuration.version == context.trace.revision
-        ):
+        if configuration is None:
             return None
         found = find_request_team(
             configuration, context.route, context.request
--- a/src/hawthornmast/gateway/gauges.py
+++ b/src/hawthornmast/gateway/gauges.py
@@ -61,6 +61,12 @@
         "Calls of the platform that failed.",
         lambda: synchronizer.platform_calls.failures,
     )
+    metrics.register_gauge(
+        "hawthornmast_platform_era",
+        "Newest era of the platform, which increases when it returns to an"
+        " older copy.",
+        lambda: synchronizer.era,
+    )
     metrics.register_gauge(
         "hawthornmast_datagram_bytes",
         "Bytes of datagrams sent to other members.",
