--- a/src/hawthornmast/gateway/sources.py
+++ b/src/hawthornmast/gateway/sources.py
@@ -445,8 +445,8 @@
             self._eras.observe(published.position)
             order = self._state.order_published(published)
             self.accept(published.configuration, "platform", era=order.era)
-            if self._state.confirms(published):
-                self._configuration_reads.record_read(asked_at)
+        if self._state.confirms(published):
+            self._configuration_reads.record_read(asked_at)
         return True
 
     def _refuse_older(self, value: _T, era: int) -> Result[_T, StepError]:
--- a/src/hawthornmast/gateway/tests/test_sources.py
+++ b/src/hawthornmast/gateway/tests/test_sources.py
@@ -429,16 +429,20 @@
         # The platform's list of the new era lacks u1, which may return.
         assert set(reader.listing.entries) == {"u1", "u2"}
 
+    @pytest.mark.parametrize("copy", [3, None])
     async def test_waiting_for_the_newest_adds_no_calls(
-        self, autojump_clock: trio.testing.MockClock, reader: Reader
+        self,
+        autojump_clock: trio.testing.MockClock,
+        reader: Reader,
+        copy: int | None,
     ) -> None:
         # Guards against a member that reads the platform without pause while
-        # that has a lower version.
+        # that has a lower version or none.
         reader.platform.era = 1
         reader.platform.configuration = make_configuration(4)
         await trio.sleep(1.2)
         reader.platform.era = 2
-        reader.platform.configuration = make_configuration(3)
+        reader.platform.configuration = copy and make_configuration(copy)
         before = len(reader.platform.calls)
         await trio.sleep(5.0)
         assert reader.synchronizer.version == 4
--- a/src/hawthornmast/gateway/versions.py
+++ b/src/hawthornmast/gateway/versions.py
@@ -9,10 +9,12 @@
 import collections
 from collections.abc import Callable
 import hashlib
+import logging
 import zlib
 
 import msgpack
 
+from hawthornmast.audit import log_event
 from hawthornmast.common import EraRevision
 from hawthornmast.membership.eras import EraTracker
 from hawthornmast.membership.eras import ROLLBACK_SETTLE_S
@@ -20,6 +22,8 @@
 from hawthornmast.routing import encode_configuration
 from hawthornmast.routing import PublishedConfiguration
 
+_LOG = logging.getLogger("hawthornmast.gateway.versions")
+
 MAX_REPLACED = 64
 """Number of replaced configurations whose digests are kept."""
 
@@ -60,11 +64,12 @@
         self._read_at = EraRevision()
         # Write that the platform returns, and the time since when.
         self._returned: tuple[EraRevision, float] | None = None
+        self._logged = EraRevision()
         self._replaced: collections.deque[bytes] = collections.deque(
             maxlen=MAX_REPLACED
         )
-        # Packed and compressed configuration, empty until they are used.
-        self._packed = b""
+        # Both are empty until they are used.
+        self._digest = b""
         self._compressed = b""
 
     @property
@@ -85,7 +90,7 @@
         if self.configuration is not None and self._eras.era:
             self._replaced.append(self.digest())
         self.configuration = configuration
-        self._packed = self._compressed = b""
+        self._digest = self._compressed = b""
         return True
 
     def order_published(
@@ -98,14 +103,35 @@
             self._is_newest(published) or self._has_other_content(published)
         ):
             return EraRevision(era, version)
-        return EraRevision(min(self.order.era, era), version)
+        order = EraRevision(min(self.order.era, era), version)
+        self._log_waiting(published, order)
+        return order
 
-    def confirms(self, published: PublishedConfiguration) -> bool:
+    def _log_waiting(
+        self, published: PublishedConfiguration, order: EraRevision
+    ) -> None:
+        """Log once that a configuration of an older copy isn't applied."""
+        write = EraRevision(published.position.era, published.written)
+        if order >= self.order or write == self._logged:
+            return
+        self._logged = write
+        log_event(
+            _LOG,
+            "configuration-held-back",
+            level=logging.WARNING,
+            version=order.number,
+            in_force=self.version,
+            era=write.era,
+        )
+
+    def confirms(self, published: PublishedConfiguration | None) -> bool:
         """Return whether a read needn't be repeated soon.
 
         The platform has the configuration in force, or an earlier one that
-        may be in force only later.
+        may be in force only later, or returned to before the first one.
         """
+        if published is None:
+            return self._eras.era > 0 and self.configuration is not None
         return (
             published.configuration.version == self.version
             or published.position.era > self.order.era
@@ -130,20 +156,18 @@
         )
 
     def digest(self) -> bytes:
-        """Return the digest of the configuration in force."""
-        return _digest(self._pack())
+        """Return the digest of the configuration in force, if there is one."""
+        if not self._digest and self.configuration is not None:
+            self._digest = _digest(self.configuration)
+        return self._digest
 
     def compress(self) -> bytes:
         """Return the compressed configuration in force."""
+        assert self.configuration is not None
         if not self._compressed:
-            self._compressed = zlib.compress(self._pack(), 1)
+            self._compressed = zlib.compress(_pack(self.configuration), 1)
         return self._compressed
 
-    def _pack(self) -> bytes:
-        if not self._packed and self.configuration is not None:
-            self._packed = _pack(self.configuration)
-        return self._packed
-
     def _is_newest(self, published: PublishedConfiguration) -> bool:
         """Return whether it is known to be the newest of its era."""
         now = self._clock()
@@ -169,7 +193,7 @@
             configuration.version == self.version
             and published.position.era > self.order.era
             and configuration != self.configuration
-            and _digest(_pack(configuration)) not in self._replaced
+            and _digest(configuration) not in self._replaced
         )
 
 
@@ -178,5 +202,6 @@
     return packed
 
 
-def _digest(packed: bytes) -> bytes:
+def _digest(configuration: Configuration) -> bytes:
+    packed = _pack(configuration)
     return hashlib.blake2b(packed, digest_size=8).digest()
--- a/src/hawthornmast/membership/departures.py
+++ b/src/hawthornmast/membership/departures.py
@@ -10,19 +10,26 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import hashlib
+import logging
 from typing import Any
 
 import attrs
 import msgpack
 
+from hawthornmast.audit import log_event
 from hawthornmast.common import State
 from hawthornmast.membership.entries import ListedUpstream
 from hawthornmast.membership.eras import EraTracker
 from hawthornmast.membership.eras import ROLLBACK_SETTLE_S
 
+_LOG = logging.getLogger("hawthornmast.membership.departures")
+
 MAX_DEPARTURES = 1024
 """Processes that a member remembers; the first ones are forgotten."""
 
+MAX_LOGGED_NAMES = 10
+"""Upstreams that one line of the log names."""
+
 Process = tuple[str, int]
 """Identifier and start time of an upstream's process."""
 
@@ -110,7 +117,8 @@
         result = dict(listed)
         if era != self._held_era:
             # The time to wait begins again with each era.
-            self._held_era, self._held = era, {}
+            self._held_era = era
+            self._held = {}
         held: dict[Process, tuple[Departure, float]] = {}
         for name, item in listed.items():
             process = get_process(item)
@@ -129,6 +137,15 @@
                 held[process] = departure, since
                 upstream = attrs.evolve(item.upstream, state=State.LEAVING)
                 result[name] = attrs.evolve(item, upstream=upstream)
+        if held.keys() != self._held.keys():
+            names = sorted(name for name, _ in held)[:MAX_LOGGED_NAMES]
+            log_event(
+                _LOG,
+                "upstreams-held-back",
+                era=era,
+                held=len(held),
+                upstreams=",".join(names) or "-",
+            )
         self._held = held
         self._update_digest()
         return result
--- a/src/hawthornmast/membership/listing.py
+++ b/src/hawthornmast/membership/listing.py
@@ -93,8 +93,11 @@
         position = EraRevision(era, revision)
         if digest != self.digest or self._is_older(position):
             return False
+        is_new_era = position.era > self.position.era
         self._advance(position)
         self.confirmed_at = self._clock()
+        if is_new_era:
+            self.refresh()
         return True
 
     def apply_snapshot(
--- a/src/hawthornmast/membership/tests/test_departures.py
+++ b/src/hawthornmast/membership/tests/test_departures.py
@@ -148,6 +148,17 @@
         return_to_copy(listing, era=3)
         assert find_live(listing) == {"stays"}
 
+    def test_time_begins_again_with_an_era_that_a_peer_confirms(
+        self, listing: UpstreamListing, clock: ManualClock
+    ) -> None:
+        return_to_copy(listing)
+        clock.now += ROLLBACK_SETTLE_S - 1.0
+        assert listing.confirm(COPY_REVISION, listing.digest, era=3)
+        clock.now += ROLLBACK_SETTLE_S - 1.0
+        assert listing.confirm(COPY_REVISION, listing.digest, era=3)
+        assert not listing.drop_expired()
+        assert find_live(listing) == {"stays"}
+
     def test_return_within_an_era_is_used(
         self, listing: UpstreamListing
     ) -> None:
