--- a/src/hawthornmast/gateway/tests/support.py
+++ b/src/hawthornmast/gateway/tests/support.py
@@ -1,12 +1,15 @@
 """Helpers shared by the tests of the gateway."""
 
 import random
+from typing import Any
 
+import attrs
 from result import Err
 from result import Ok
 from result import Result
 import trio
 
+from hawthornmast.common import EraRevision
 from hawthornmast.common import Instance
 from hawthornmast.common import StepError
 from hawthornmast.common import Upstream
@@ -17,13 +20,17 @@
 from hawthornmast.membership.entries import UpstreamSnapshot
 from hawthornmast.membership.gossip import Gossip
 from hawthornmast.routing import Configuration
+from hawthornmast.routing import PublishedConfiguration
 from hawthornmast.routing import Route
 from hawthornmast.routing import ServiceOptions
 from hawthornmast.routing import Target
 
 
-def make_configuration(version: int = 1) -> Configuration:
-    """Return a configuration with the services ``boxes`` and ``billing``."""
+def make_configuration(version: int = 1, **changes: Any) -> Configuration:
+    """Return a configuration with the services ``boxes`` and ``billing``.
+
+    ``changes`` override its fields.
+    """
     routes = tuple(
         Route(
             name=f"{service}-route",
@@ -37,19 +44,27 @@
         )
         for service in ("boxes", "billing")
     )
-    return Configuration(
+    configuration = Configuration(
         version=version,
         routes=routes,
         services=(ServiceOptions(name="boxes", connections=77),),
     )
+    return attrs.evolve(configuration, **changes)
 
 
-def make_listed_upstream(name: str, service: str = "boxes") -> ListedUpstream:
+def make_listed_upstream(
+    name: str, service: str = "boxes", *, started_ms: int = 0
+) -> ListedUpstream:
     """Return a listed upstream."""
     return ListedUpstream(
         service=service,
         upstream=Upstream(
-            upstream_id=name, zone="a", host="127.0.0.1", port=1, slots=2
+            upstream_id=name,
+            zone="a",
+            host="127.0.0.1",
+            port=1,
+            slots=2,
+            started_ms=started_ms,
         ),
     )
 
@@ -95,6 +110,8 @@
         self.snapshot = UpstreamSnapshot(
             revision=5, entries=(make_listed_upstream("u1"),)
         )
+        # Era of all that it returns.
+        self.era = 0
         self.down = False
         self.without_configuration = False
         self.delay_s = 0.0
@@ -106,19 +123,26 @@
         """Return the list of upstreams."""
         del timeout_s
         self.calls.append("listing")
-        answer = self._answer(self.snapshot)
+        answer = self._answer(attrs.evolve(self.snapshot, era=self.era))
         await trio.sleep(self.delay_s)
         return answer
 
     async def read_configuration(
         self, *, timeout_s: float
-    ) -> Result[Configuration | None, StepError]:
+    ) -> Result[PublishedConfiguration | None, StepError]:
         """Return the configuration."""
         del timeout_s
         self.calls.append("configuration")
         if self.without_configuration:
             return Err(StepError(step="read", detail="no answer"))
-        return self._answer(self.configuration)
+        if self.configuration is None:
+            return self._answer(None)
+        position = EraRevision(self.era, self.snapshot.revision)
+        return self._answer(
+            PublishedConfiguration(
+                configuration=self.configuration, position=position
+            )
+        )
 
     def _answer(self, value):
         if self.down:
