Run pipelined requests before earlier ones are answered

A connection served one request at a time, so that pipelined requests took the sum of their times. Requests that arrive while one runs are now read with a parser each and, if the handler lets them run early, run in tasks of the server.

Only the member's interface reads ahead; the native one serves in turn. The idle test patches the sockets module by its own name, because connection.py no longer imports it.

--- a/src/hawthornmast/forwarding/forwarder.py
+++ b/src/hawthornmast/forwarding/forwarder.py
@@ -118,6 +118,15 @@
             return self._refuse_ticket(redemption, request.service)
         return None
 
+    def may_run_early(self, request: ClientRequest) -> bool:
+        """Return whether a request may run ahead of its turn.
+
+        None does: the tickets of a connection are redeemed in the order of
+        its requests.
+        """
+        del request
+        return False
+
     def _select(
         self, request: ClientRequest
     ) -> ClientResponse | tuple[ServiceRuntime, Entry] | None:
--- a/src/hawthornmast/forwarding/server.py
+++ b/src/hawthornmast/forwarding/server.py
@@ -1,5 +1,6 @@
 """HTTP servers for clients: a base class and the native interface."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
 import errno
@@ -16,7 +17,8 @@
 from hawthornmast.forwarding import endpoints
 from hawthornmast.forwarding import relay
 from hawthornmast.forwarding.connection import ClientConnection
-from hawthornmast.forwarding.connection import RequestHandler
+from hawthornmast.forwarding.context import RequestHandler
+from hawthornmast.forwarding.context import WatchedConnection
 from hawthornmast.forwarding.dialect import Dialect
 from hawthornmast.forwarding.dialect import NativeDialect
 from hawthornmast.forwarding.forwarder import Forwarder
@@ -38,6 +40,8 @@
 _IDLE_POLL_INTERVAL_S = 0.2
 _POOL_CLEANUP_INTERVAL_S = 1.0
 _DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+# Reported once, until the descriptor is armed again.
+_INPUT_EVENTS = select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLONESHOT
 _CONNECTION_LIMIT_RESPONSE = (
     b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
     b"Hawthornmast-Outcome: not-run\r\nHawthornmast-Reason: connections\r\n"
@@ -86,8 +90,15 @@
         Limits on what clients may send.
     on_bad_input
         Called with the kind of each refused input.
+
+    Attributes
+    ----------
+    reads_ahead
+        Requests are read before earlier ones are answered.
     """
 
+    reads_ahead = False
+
     def __init__(
         self,
         forwarder: RequestHandler,
@@ -110,7 +121,11 @@
         self._port = port
         self._on_bad_input = on_bad_input
         self._connections: set[ClientConnection] = set()
-        self._watched: dict[int, ClientConnection] = {}
+        self._watched: dict[int, WatchedConnection] = {}
+        # Arming and disarming a descriptor for each request is cheaper than
+        # a task that waits for it.
+        self._epoll = select.epoll()
+        self._nursery: trio.Nursery | None = None
         self._listeners: list[trio.SocketListener] = []
         self._accept_scope = trio.CancelScope()
         self._accept_ended = trio.Event()
@@ -216,13 +231,17 @@
         try:
             with self._scope:
                 async with trio.open_nursery() as nursery:
+                    self._nursery = nursery
                     nursery.start_soon(self._poll_clients)
+                    if self.reads_ahead:
+                        nursery.start_soon(self._await_inputs)
                     nursery.start_soon(self._clean_up_pools)
                     await self._accept(nursery)
                     await trio.sleep_forever()
         finally:
             for listener in self._listeners:
                 listener.socket.close()
+            self._epoll.close()
             self._upstreams.close()
             self._accept_ended.set()
             self._stopped.set()
@@ -298,9 +317,16 @@
             poller.register(fileno, select.POLLRDHUP)
         for fileno, events in poller.poll(0):
             if events & _DISCONNECT_EVENTS:
-                connection = self._watched[fileno]
-                connection.trace.client_disconnected = True
-                connection.request_scope.cancel()
+                self._watched[fileno].cancel_requests()
+
+    async def _await_inputs(self) -> None:
+        while True:
+            await trio.lowlevel.wait_readable(self._epoll.fileno())
+            for fileno, events in self._epoll.poll(0):
+                connection = self._watched.get(fileno)
+                if connection is not None and not events & _DISCONNECT_EVENTS:
+                    with log_failures("read-ahead"):
+                        connection.read_ahead()
 
     async def _clean_up_pools(self) -> None:
         while True:
@@ -340,13 +366,32 @@
         """Report a completed request."""
         del request, trace, response
 
-    def watch(self, connection: ClientConnection) -> None:
-        """Cancel the connection's request when its client disconnects."""
-        self._watched[connection.sock.fileno()] = connection
+    def start_task(self, function: Callable[[], Awaitable[None]]) -> None:
+        """Run a function as a task of the server."""
+        assert self._nursery is not None
+        self._nursery.start_soon(function)
+
+    def watch(self, fileno: int, connection: WatchedConnection) -> None:
+        """Watch a connection for further requests and for a disconnect."""
+        self._watched[fileno] = connection
+        if self.reads_ahead:
+            self.await_input(fileno)
 
-    def unwatch(self, connection: ClientConnection) -> None:
-        """Stop watching a connection for a disconnect."""
-        self._watched.pop(connection.sock.fileno(), None)
+    def await_input(self, fileno: int) -> None:
+        """Call ``read_ahead`` of a watched connection at its next input."""
+        if fileno not in self._watched:
+            return
+        try:
+            self._epoll.modify(fileno, _INPUT_EVENTS)
+        except FileNotFoundError:
+            self._epoll.register(fileno, _INPUT_EVENTS)
+
+    def unwatch(self, fileno: int) -> None:
+        """Stop watching a connection."""
+        self._watched.pop(fileno, None)
+        if self.reads_ahead:
+            # Input is left to the connection itself until the next watch.
+            self._epoll.modify(fileno, select.EPOLLONESHOT)
 
 
 class ClientServer(ConnectionServer):
--- a/src/hawthornmast/forwarding/tests/test_idle.py
+++ b/src/hawthornmast/forwarding/tests/test_idle.py
@@ -5,7 +5,7 @@
 import trio
 
 from hawthornmast.forwarding import ClientLimits
-from hawthornmast.forwarding import connection as connection_module
+from hawthornmast.forwarding import sockets
 from hawthornmast.forwarding.tests.support import run_harness
 
 GET = b"GET /read HTTP/1.1\r\nHost: billing\r\n\r\n"
@@ -25,7 +25,7 @@
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         async with run_harness(1) as harness:
-            receive = connection_module.sockets.receive
+            receive = sockets.receive
 
             async def receive_at_expiry(sock, size):
                 data = await receive(sock, size)
@@ -36,9 +36,7 @@
                         connection.cancel_overdue(trio.current_time() + 1e6)
                 return data
 
-            monkeypatch.setattr(
-                connection_module.sockets, "receive", receive_at_expiry
-            )
+            monkeypatch.setattr(sockets, "receive", receive_at_expiry)
             stream = await trio.open_tcp_stream("127.0.0.1", harness.port)
             assert (await send(stream)).startswith(b"HTTP/1.1 200")
             await stream.aclose()
--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -136,6 +136,14 @@
         """Return a refusal that can be decided without the request's body."""
         return self._authorize(request).err()
 
+    def may_run_early(self, request: ClientRequest) -> bool:
+        """Return whether a request may run ahead of its turn."""
+        configuration = self._provider.configuration
+        if configuration is None:
+            return False
+        route = configuration.find_route(request.service, request.target)
+        return route is not None and route.idempotent
+
     def _authorize(
         self, request: ClientRequest
     ) -> Result[_AuthorizedRoute, ClientResponse]:
--- a/src/hawthornmast/gateway/server.py
+++ b/src/hawthornmast/gateway/server.py
@@ -28,6 +28,8 @@
     known.
     """
 
+    reads_ahead = True
+
     def __init__(
         self,
         forwarder: RouteForwarder,
