--- a/src/hawthornmast/forwarding/upstream.py
+++ b/src/hawthornmast/forwarding/upstream.py
@@ -13,14 +13,14 @@
 from hawthornmast.common import StepError
 from hawthornmast.common import Upstream
 from hawthornmast.forwarding import sockets
+from hawthornmast.forwarding.connections import ConnectionPool
+from hawthornmast.forwarding.connections import UpstreamConnection
 from hawthornmast.forwarding.exchange import apply_keep_alive_timeout
 from hawthornmast.forwarding.exchange import check_framing
 from hawthornmast.forwarding.exchange import check_head
-from hawthornmast.forwarding.exchange import ConnectionPool
 from hawthornmast.forwarding.exchange import Exchange
 from hawthornmast.forwarding.exchange import Progress
 from hawthornmast.forwarding.exchange import read_head
-from hawthornmast.forwarding.exchange import UpstreamConnection
 from hawthornmast.forwarding.exchange import UpstreamRequest
 from hawthornmast.forwarding.serialization import write_request
 
