Bound the response bytes that a process holds

Each response was buffered up to 262,144 bytes, whatever the process held already; pipelined ones also wait for their turn. Responses that are read, wait for their turn or wait for a slow client are now counted for the process. Responses for HTTP/1.0 clients can't be streamed; they are counted but still buffered.

run_daemon of the tests takes the number of connections and the timeout of the read route; its defaults are what they were.

--- a/src/hawthornmast/forwarding/connection.py
+++ b/src/hawthornmast/forwarding/connection.py
@@ -196,6 +196,7 @@
     ) -> bool:
         """Stream a response in its turn; return whether it was completed."""
         turn.trace.awaiting_client = True
+        exchange.discard_body()
         if self._pipeline is not None:
             await self._pipeline.wait_turn(turn, len(response.body))
         return await self._writer.stream(
--- a/src/hawthornmast/forwarding/context.py
+++ b/src/hawthornmast/forwarding/context.py
@@ -7,6 +7,7 @@
 from hawthornmast.forwarding.delivery import Deliver
 from hawthornmast.forwarding.delivery import OpenScope
 from hawthornmast.forwarding.dialect import Dialect
+from hawthornmast.forwarding.memory import ResponseMemory
 from hawthornmast.forwarding.messages import ClientRequest
 from hawthornmast.forwarding.messages import ClientResponse
 from hawthornmast.forwarding.messages import Trace
@@ -64,6 +65,8 @@
         Size of the request bodies that all connections hold in memory.
     reads_ahead
         Requests are read before earlier ones are answered.
+    response_memory
+        Counts the response bytes that the process holds.
     """
 
     limits: ClientLimits
@@ -72,6 +75,7 @@
     end_at: float
     buffered_body_bytes: int
     reads_ahead: bool
+    response_memory: ResponseMemory
 
     @property
     def forwarder(self) -> RequestHandler:
--- a/src/hawthornmast/forwarding/exchange.py
+++ b/src/hawthornmast/forwarding/exchange.py
@@ -12,9 +12,10 @@
 from hawthornmast.forwarding import sockets
 from hawthornmast.forwarding.connections import UpstreamConnection
 from hawthornmast.forwarding.headers import RawHeaders
+from hawthornmast.forwarding.memory import ResponseMemory
+from hawthornmast.forwarding.memory import SMALL_PIECE_BYTES
 from hawthornmast.forwarding.serialization import read_headers
 
-_READ_BYTES = 65536
 _MAX_INFORMATIONAL_RESPONSES = 8
 """Maximum number of informational responses before the final one."""
 
@@ -77,6 +78,8 @@
     ----------
     return_connection
         Returns the connection to its pool.
+    memory
+        Counts the part of the body that is held.
 
     Attributes
     ----------
@@ -90,6 +93,7 @@
 
     __slots__ = (
         "_conn",
+        "_memory",
         "_return_connection",
         "_values",
         "body",
@@ -103,7 +107,9 @@
         return_connection: Callable[[UpstreamConnection], None],
         conn: UpstreamConnection,
         head: h11.Response,
+        memory: ResponseMemory,
     ) -> None:
+        self._memory = memory
         self._return_connection = return_connection
         self._conn = conn
         self.status = head.status_code
@@ -134,7 +140,9 @@
         while True:
             event = h11_connection.next_event()
             if event is h11.NEED_DATA:
-                data = await sockets.receive(self._conn.sock, _READ_BYTES)
+                data = await sockets.receive(
+                    self._conn.sock, self._memory.piece_bytes
+                )
                 h11_connection.receive_data(data)
             elif type(event) is h11.Data:
                 return bytes(event.data)
@@ -144,13 +152,35 @@
             else:
                 raise h11.RemoteProtocolError("connection closed early")
 
-    async def fill_buffer(self, size: int) -> None:
-        """Read the body until it is complete or exceeds ``size`` bytes."""
+    async def fill_buffer(self, size: int, *, whole: bool = False) -> None:
+        """Read the body until it is complete or exceeds ``size`` bytes.
+
+        While the memory for responses is full, a small piece is read only.
+
+        Parameters
+        ----------
+        whole
+            Read up to ``size`` bytes also then, for a client to which the
+            body can't be streamed.
+        """
         while len(self.body) <= size:
             chunk = await self.read()
             if not chunk:
                 return
             self.body += chunk
+            self._memory.hold(len(chunk))
+            if (
+                self._memory.is_full
+                and not whole
+                and len(self.body) >= SMALL_PIECE_BYTES
+            ):
+                return
+
+    def discard_body(self) -> None:
+        """Free the part of the body that was read so far."""
+        if self.body:
+            self._memory.release(len(self.body))
+            self.body = bytearray()
 
     def release(self, *, reusable: bool) -> None:
         """Return the connection to its pool, or close it.
@@ -161,6 +191,7 @@
             The response belongs to the request. After a response to another
             request, later ones on the connection may be mismatched as well.
         """
+        self.discard_body()
         if reusable and self.complete:
             self._return_connection(self._conn)
         else:
@@ -168,9 +199,9 @@
 
 
 async def read_head(
-    conn: UpstreamConnection, progress: Progress
+    conn: UpstreamConnection, progress: Progress, memory: ResponseMemory
 ) -> h11.Response:
-    """Read the head of the final response.
+    """Read the head of the final response, with the beginning of its body.
 
     Raises OSError or ``h11.RemoteProtocolError`` if none comes, also when what
     comes has no end.
@@ -183,7 +214,9 @@
     informational_count = 0
     while True:
         if need_data:
-            data = await _receive_by(conn.sock, head_deadline)
+            data = await _receive_by(
+                conn.sock, memory.piece_bytes, head_deadline
+            )
             progress.response_started = progress.response_started or bool(data)
             h11_connection.receive_data(data)
         event = h11_connection.next_event()
@@ -203,12 +236,14 @@
             head_deadline = trio.current_time() + _HEAD_TIMEOUT_S
 
 
-async def _receive_by(sock: socket.socket, deadline: float) -> bytes:
+async def _receive_by(
+    sock: socket.socket, size: int, deadline: float
+) -> bytes:
     """Receive data, or raise TimeoutError at the deadline."""
     if deadline == math.inf:
-        return await sockets.receive(sock, _READ_BYTES)
+        return await sockets.receive(sock, size)
     with trio.move_on_at(deadline):
-        return await sockets.receive(sock, _READ_BYTES)
+        return await sockets.receive(sock, size)
     raise TimeoutError(f"response head incomplete after {_HEAD_TIMEOUT_S} s")
 
 
--- a/src/hawthornmast/forwarding/forwarder.py
+++ b/src/hawthornmast/forwarding/forwarder.py
@@ -352,6 +352,7 @@
                     if request.is_http10
                     else self._buffer_bytes
                 ),
+                whole=request.is_http10,
                 accepts_head=functools.partial(
                     matches_request, request=request
                 ),
--- a/src/hawthornmast/forwarding/pipeline.py
+++ b/src/hawthornmast/forwarding/pipeline.py
@@ -89,8 +89,7 @@
         if not self._turns:
             return None
         turn = self._current = self._turns.popleft()
-        self._held_bytes -= turn.held_bytes
-        turn.held_bytes = 0
+        self._hold(turn, 0)
         if turn.early is not None:
             turn.early.its_turn.set()
         return turn
@@ -126,7 +125,10 @@
         self._scope.cancel()
 
     async def close(self) -> None:
-        """Cancel everything and wait until no task uses the socket."""
+        """Cancel everything and wait until no task uses the socket.
+
+        Further calls have no effect.
+        """
         self._stop_reading()
         self.cancel_requests()
         if self._current is not None and self._current.early is not None:
@@ -134,6 +136,8 @@
         with trio.CancelScope(shield=True):
             while self.is_reading or self._running:
                 await self._changed.wait()
+        for turn in self._turns:
+            self._hold(turn, 0)
 
     def _stop_reading(self) -> None:
         self._closed = True
@@ -230,6 +234,11 @@
 
     def _hold(self, turn: Turn, size: int) -> None:
         """Count a response that waits for its turn."""
+        memory = self._server.response_memory
+        if size >= turn.held_bytes:
+            memory.hold(size - turn.held_bytes)
+        else:
+            memory.release(turn.held_bytes - size)
         self._held_bytes += size - turn.held_bytes
         turn.held_bytes = size
 
--- a/src/hawthornmast/forwarding/relaying.py
+++ b/src/hawthornmast/forwarding/relaying.py
@@ -103,6 +103,7 @@
                         if request.is_http10
                         else self._buffer_bytes
                     ),
+                    whole=request.is_http10,
                     accepts_head=functools.partial(
                         matches_request, request=request
                     ),
--- a/src/hawthornmast/forwarding/server.py
+++ b/src/hawthornmast/forwarding/server.py
@@ -116,6 +116,7 @@
         self.closing = False
         self.end_at = math.inf
         self.buffered_body_bytes = 0
+        self.response_memory = upstreams.memory
         self._upstreams = upstreams
         self._host = host
         self._port = port
--- a/src/hawthornmast/forwarding/tests/pipelines.py
+++ b/src/hawthornmast/forwarding/tests/pipelines.py
@@ -189,5 +189,6 @@
             while server.connections or server.handler.running:
                 await trio.sleep(0.01)
         assert server.buffered_body_bytes == 0
+        assert server.response_memory.held_bytes == 0
         assert not server.busy
         await server.close()
--- a/src/hawthornmast/forwarding/tests/support.py
+++ b/src/hawthornmast/forwarding/tests/support.py
@@ -223,6 +223,7 @@
             while harness.runtime.slots_in_use or harness.server.connections:
                 await trio.sleep(0.01)
         assert harness.server.buffered_body_bytes == 0
+        assert harness.server.response_memory.held_bytes == 0
         await harness.server.close()
         assert harness.upstreams.open_connections() == 0
         nursery.cancel_scope.cancel()
--- a/src/hawthornmast/forwarding/upstream.py
+++ b/src/hawthornmast/forwarding/upstream.py
@@ -22,6 +22,7 @@
 from hawthornmast.forwarding.exchange import Progress
 from hawthornmast.forwarding.exchange import read_head
 from hawthornmast.forwarding.exchange import UpstreamRequest
+from hawthornmast.forwarding.memory import ResponseMemory
 from hawthornmast.forwarding.serialization import write_request
 
 MAX_SHORT_REQUEST_BYTES = 8192
@@ -48,6 +49,11 @@
         Names in lower case of headers that a response has at most once.
     clock
         Monotonic time in seconds.
+
+    Attributes
+    ----------
+    memory
+        Counts the response bytes that the process holds.
     """
 
     def __init__(
@@ -60,6 +66,7 @@
         singleton_headers: frozenset[bytes] = frozenset(),
         clock: Callable[[], float] = trio.current_time,
     ) -> None:
+        self.memory = ResponseMemory()
         self._idle_s = idle_s
         self._connect_s = connect_s
         self._max_idle_connections = max_idle_connections
@@ -84,6 +91,7 @@
         buffer_bytes: int,
         max_idle_s: float = math.inf,
         accepts_head: Callable[[Exchange], bool] = lambda exchange: True,
+        whole: bool = False,
     ) -> Result[Exchange, StepError]:
         """Send a request and read its response up to ``buffer_bytes``.
 
@@ -101,8 +109,12 @@
         accepts_head
             Returns whether the head is one of a response to the request. If
             not, its body is not read, because it may never end.
+        whole
+            Fill the buffer also while the memory for responses is full,
+            because the response can't be streamed.
         """
         conn: UpstreamConnection | None = None
+        exchange: Exchange | None = None
         succeeded = False
         step = "connect"
         try:
@@ -141,7 +153,7 @@
             step = "read"
             exchange = await self._read_head(conn, request, progress)
             if accepts_head(exchange):
-                await exchange.fill_buffer(buffer_bytes)
+                await exchange.fill_buffer(buffer_bytes, whole=whole)
             succeeded = True
             return Ok(exchange)
         except (OSError, h11.RemoteProtocolError) as error:
@@ -155,6 +167,8 @@
         finally:
             if conn is not None and not succeeded:
                 conn.close()
+                if exchange is not None:
+                    exchange.discard_body()
 
     def return_connection(self, conn: UpstreamConnection) -> None:
         """Return a connection to its pool if reusable, otherwise close it."""
@@ -248,8 +262,8 @@
         request: UpstreamRequest,
         progress: Progress,
     ) -> Exchange:
-        head = await read_head(conn, progress)
-        exchange = Exchange(self.return_connection, conn, head)
+        head = await read_head(conn, progress, self.memory)
+        exchange = Exchange(self.return_connection, conn, head, self.memory)
         check_head(head, exchange.headers, self._singleton_headers)
         check_framing(
             exchange, head, request.method, self._allow_close_delimited
--- a/src/hawthornmast/forwarding/writer.py
+++ b/src/hawthornmast/forwarding/writer.py
@@ -1,5 +1,6 @@
 """Writing of the responses of one client connection."""
 
+from collections.abc import Sequence
 import math
 import socket
 
@@ -16,6 +17,9 @@
 from hawthornmast.forwarding.turns import Turn
 
 _BODILESS_STATUSES = frozenset({204, 304})
+_MAX_COPIED_BYTES = 65_536
+"""Size up to which parts of a stream are joined and sent at once."""
+
 _LINGER_S = 0.5
 _LINGER_BYTES = 1_048_576
 
@@ -87,15 +91,16 @@
         event: h11.Event = h11.Response(
             status_code=response.status, headers=headers
         )
-        data = parser.send(event) or b""
-        chunk = response.body
+        head = parser.send(event) or b""
+        # Nothing else refers to the first chunk, which is freed once sent.
+        chunk, response.body = response.body, b""
         trace.awaiting_client = True
         while chunk:
-            data += parser.send(h11.Data(data=chunk)) or b""
-            if not await self._send(data, limited=False):
+            parts = parser.send_with_data_passthrough(h11.Data(data=chunk))
+            if not await self._send_parts(head, parts or ()):
                 trace.client_disconnected = True
                 return False
-            data = b""
+            head = b""
             trace.awaiting_client = False
             try:
                 chunk = await exchange.read()
@@ -105,6 +110,15 @@
         data = parser.send(h11.EndOfMessage()) or b""
         return not data or await self._send(data, limited=False)
 
+    async def _send_parts(self, head: bytes, parts: Sequence[bytes]) -> bool:
+        """Send a part of a stream; copy it only if it is short."""
+        if sum(map(len, parts)) <= _MAX_COPIED_BYTES:
+            return await self._send(b"".join((head, *parts)), limited=False)
+        for part in (head, *parts):
+            if part and not await self._send(part, limited=False):
+                return False
+        return True
+
     async def refuse(self, turn: Turn, bad_input: BadInputError) -> bool:
         """Answer bad input; return whether the client could read it.
 
@@ -164,13 +178,31 @@
         try:
             sent = await sockets.send_some(self._sock, data)
             if sent < len(data):
-                if limited:
-                    self.deadline = (
-                        trio.current_time() + self._server.limits.write_s
-                    )
-                while sent < len(data):
-                    sent += await sockets.send_some(self._sock, data[sent:])
-                self.deadline = math.inf
+                await self._send_rest(data, sent, limited=limited)
         except OSError:
             return False
         return True
+
+    async def _send_rest(
+        self, data: bytes, sent: int, *, limited: bool
+    ) -> None:
+        """Send what the socket didn't take at once.
+
+        Parameters
+        ----------
+        sent
+            Size of the part that was sent.
+        limited
+            The client has ``write_s`` for it.
+        """
+        memory = self._server.response_memory
+        memory.hold(len(data))
+        if limited:
+            self.deadline = trio.current_time() + self._server.limits.write_s
+        try:
+            with memoryview(data) as view:
+                while sent < len(data):
+                    sent += await sockets.send_some(self._sock, view[sent:])
+        finally:
+            self.deadline = math.inf
+            memory.release(len(data))
--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -291,6 +291,7 @@
                     if context.request.is_http10
                     else RESPONSE_BUFFER_BYTES
                 ),
+                whole=context.request.is_http10,
                 max_idle_s=math.inf
                 if context.route.idempotent
                 else NON_IDEMPOTENT_MAX_IDLE_S,
--- a/src/hawthornmast/gateway/gauges.py
+++ b/src/hawthornmast/gateway/gauges.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 import functools
 
+from hawthornmast.forwarding.memory import ResponseMemory
 from hawthornmast.gateway.datagrams import DatagramTransport
 from hawthornmast.gateway.metrics import GatewayMetrics
 from hawthornmast.gateway.services import ServiceRegistry
@@ -49,6 +50,7 @@
     datagrams: DatagramTransport,
     gossip: Gossip,
     services: ServiceRegistry,
+    response_memory: ResponseMemory,
 ) -> None:
     """Export the state of a member's parts."""
     metrics.register_gauge(
@@ -66,6 +68,11 @@
         "Bytes of datagrams sent to other members.",
         lambda: datagrams.sent_bytes,
     )
+    metrics.register_gauge(
+        "hawthornmast_held_response_bytes",
+        "Bytes of responses that wait in memory for clients.",
+        lambda: response_memory.held_bytes,
+    )
     # Gossip knows all members of this zone, but only the highest-ranked few
     # of each other zone, so the gauge is not the size of the fleet.
     metrics.register_gauge(
--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -155,6 +155,7 @@
             datagrams=self.datagrams,
             gossip=self.gossip,
             services=self.services,
+            response_memory=upstream_client.memory,
         )
         self._nursery: trio.Nursery | None = None
         # Live and advertised members, updated when the membership changes.
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -153,15 +153,30 @@
 
 @contextlib.asynccontextmanager
 async def run_daemon(
-    folder: pathlib.Path, *, service_s: float, slots: int = 64
+    folder: pathlib.Path,
+    *,
+    service_s: float,
+    slots: int = 64,
+    connections: int = 390,
+    read_timeout: str = "3000ms",
 ) -> AsyncIterator[Stop]:
-    """Run a daemon process with one back end for both services."""
+    """Run a daemon process with one back end for both services.
+
+    Parameters
+    ----------
+    connections
+        Connections that the back end takes.
+    read_timeout
+        Timeout of the route for reads, as the configuration has it.
+    """
     host = f"{allocate_loopback_prefix()}.1"
     path = folder / "settings.conf"
     async with trio.open_nursery() as nursery:
         store = StoreStandIn()
         await store.start(nursery)
-        backend = BackendStandIn("all-0", slots=slots)
+        backend = BackendStandIn(
+            "all-0", slots=slots, connections=connections + 10
+        )
         backend.faults = attrs.evolve(backend.faults, service_s=service_s)
         await backend.start(nursery)
         configuration = make_configuration()
@@ -169,6 +184,9 @@
         configuration["VirtualHosts"][1]["Paths"][0]["TrafficSplit"] = [
             {"Service": "boxes", "Weight": 100}
         ]
+        configuration["Services"][0]["MaxConns"] = connections
+        read_route = configuration["VirtualHosts"][0]["Paths"][0]
+        read_route["Timeout"] = read_timeout
         store.put("op/config", configuration)
         store.put_upstream(
             "all-0", "boxes", f"127.0.0.1:{backend.port}", Slots=slots
