Bound the work for bodies in chunks of one byte

h11 yields an event per chunk, so that 65,536 bytes received at once kept the loop for some 10,000 events. After 8 chunks other tasks now run, chunks that were received together are passed on as one part, and after 64 parts below 1,024 bytes in a row reading pauses for 5 ms each time.

--- a/src/hawthornmast/forwarding/exchange.py
+++ b/src/hawthornmast/forwarding/exchange.py
@@ -24,6 +24,16 @@
 head fits into one or two packets, and a lost one is sent again within this
 time."""
 
+_CHUNKS_PER_TURN = 8
+"""Number of chunks of a body that are parsed before other tasks run."""
+
+_SHORT_PART_BYTES = 1024
+_MAX_SHORT_PARTS = 64
+"""Number of parts in a row below ``_SHORT_PART_BYTES`` after which reading
+pauses, so that many upstreams that send single bytes don't take all time."""
+
+_SHORT_PART_PAUSE_S = 0.005
+
 _BODILESS_STATUSES = frozenset({204, 304})
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?: |$)")
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"\btimeout\s*=\s*(\d{1,6})\b", re.I)
@@ -95,6 +105,7 @@
         "_conn",
         "_memory",
         "_return_connection",
+        "_short_parts",
         "_values",
         "body",
         "complete",
@@ -117,6 +128,7 @@
         self._values = dict(self.headers)
         self.body = bytearray()
         self.complete = False
+        self._short_parts = 0
 
     @property
     def connection_has_identifiers(self) -> bool:
@@ -134,23 +146,40 @@
     async def read(self) -> bytes:
         """Return the next part of the body, empty once it is complete.
 
-        Raises OSError or ``h11.RemoteProtocolError`` for a truncated body.
+        Chunks that were received together are returned as one part. Raises
+        OSError or ``h11.RemoteProtocolError`` for a truncated body.
         """
         h11_connection = self._conn.h11_connection
-        while True:
+        parts: list[bytes] = []
+        while not self.complete:
             event = h11_connection.next_event()
             if event is h11.NEED_DATA:
+                if parts:
+                    break
+                await self._pause_after_short_parts()
                 data = await sockets.receive(
                     self._conn.sock, self._memory.piece_bytes
                 )
                 h11_connection.receive_data(data)
             elif type(event) is h11.Data:
-                return bytes(event.data)
+                parts.append(event.data)
+                if len(parts) % _CHUNKS_PER_TURN == 0:
+                    await trio.lowlevel.checkpoint()
             elif type(event) is h11.EndOfMessage:
                 self.complete = True
-                return b""
             else:
                 raise h11.RemoteProtocolError("connection closed early")
+        part = b"".join(parts)
+        if len(part) < _SHORT_PART_BYTES:
+            self._short_parts += 1
+        else:
+            self._short_parts = 0
+        return part
+
+    async def _pause_after_short_parts(self) -> None:
+        """Let more of the body arrive if it comes in many short parts."""
+        if self._short_parts > _MAX_SHORT_PARTS:
+            await trio.sleep(_SHORT_PART_PAUSE_S)
 
     async def fill_buffer(self, size: int, *, whole: bool = False) -> None:
         """Read the body until it is complete or exceeds ``size`` bytes.
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -46,8 +46,9 @@
         a response: ``header`` (one header line), ``informational``
         (responses with status 103), ``unsigned`` (a body after a head that no
         execution produced), ``body`` (a body after the head of the response),
-        ``chunk-size`` (the line that begins a chunk of it), ``trailer`` (a
-        header after it) or empty for none of these.
+        ``chunk-size`` (the line that begins a chunk of it),
+        ``small-chunks`` (chunks of one byte), ``trailer`` (a header after it)
+        or empty for none of these.
     endless_pause_s
         Seconds between two pieces of an endless response.
     endless_piece_bytes
--- a/standins/responses.py
+++ b/standins/responses.py
@@ -6,11 +6,15 @@
 
 _ENDLESS_CHUNKED = {
     "chunk-size": b"1;",
+    "small-chunks": b"",
     "trailer": b"1\r\nx\r\n0\r\nX-Endless: ",
 }
 """Begin of the body of endless responses in chunked encoding."""
 
 
+_SMALL_CHUNK = b"1\r\nx\r\n"
+
+
 def format_faulty_response(
     status: int,
     headers: list[tuple[bytes, bytes]],
@@ -46,6 +50,10 @@
     """Send bytes without end, until the peer closes the connection."""
     lines = [b"HTTP/1.1 %d Answer" % status]
     piece = b"x" * faults.endless_piece_bytes
+    if faults.endless == "small-chunks":
+        piece = _SMALL_CHUNK * (
+            faults.endless_piece_bytes // len(_SMALL_CHUNK)
+        )
     if faults.endless == "header":
         head = b"\r\n".join([*lines, b"X-Endless: "])
     elif faults.endless == "informational":
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -8,6 +8,7 @@
 from result import UnwrapError
 import trio
 
+from hawthornmast import http
 from hawthornmast.health.belief import DEFAULT_MODEL
 from standins.deployment import BackendStandIn
 from standins.deployment import FRONT_PORT
@@ -209,3 +210,72 @@
             assert stop.backend.requests
             assert stop.process.poll() is None
             assert read_peak_memory_kib(stop.process.pid) < MEMORY_LIMIT_KIB
+
+
+SMALL_CHUNK_STREAMS = 120
+
+SERVED_WITHIN_S = 1.5
+"""Time in which a request is served beside the streams."""
+
+
+async def read_stream(host: str, number: int) -> None:
+    """Read a response as long as it comes."""
+    stream = await trio.open_tcp_stream(host, FRONT_PORT)
+    async with stream:
+        await stream.send_all(
+            f"GET /read/1 HTTP/1.1\r\nHost: boxes.example\r\n"
+            f"Hawthornmast-Attempt-Id: s{number}\r\n"
+            "Hawthornmast-Request-Deadline: 60000\r\n\r\n".encode()
+        )
+        while await stream.receive_some(PIECE_BYTES):
+            pass
+
+
+class TestSmallChunks:
+    """Bodies in chunks of one byte don't keep other requests waiting."""
+
+    @pytest.mark.parametrize(
+        ("piece_bytes", "pause_s"), [(PIECE_BYTES, 0.0), (6, 0.002)]
+    )
+    async def test_other_requests_are_served(
+        self, tmp_path: pathlib.Path, piece_bytes: int, pause_s: float
+    ) -> None:
+        # Guards against a loop that parses whatever one upstream has sent
+        # before it turns to another task.
+        async with run_daemon(
+            tmp_path, service_s=0.0, slots=200, read_timeout="60000ms"
+        ) as stop:
+            faults = stop.backend.faults
+            stop.backend.faults = attrs.evolve(
+                faults,
+                endless="small-chunks",
+                endless_piece_bytes=piece_bytes,
+                endless_pause_s=pause_s,
+            )
+            async with trio.open_nursery() as nursery:
+                for number in range(SMALL_CHUNK_STREAMS):
+                    nursery.start_soon(read_stream, stop.host, number)
+                with trio.fail_after(15.0):
+                    while len(stop.backend.requests) < SMALL_CHUNK_STREAMS:
+                        await trio.sleep(0.05)
+                await trio.sleep(1.0)
+                stop.backend.faults = faults
+                latencies_s = []
+                for number in range(10):
+                    started_at = trio.current_time()
+                    result = await http.fetch(
+                        stop.host,
+                        FRONT_PORT,
+                        "GET",
+                        "/read/1",
+                        headers=(
+                            ("Host", "boxes.example"),
+                            ("Hawthornmast-Attempt-Id", f"r{number}"),
+                            ("Hawthornmast-Request-Deadline", "5000"),
+                        ),
+                        timeout=5.0,
+                    )
+                    assert result.unwrap().status == 200
+                    latencies_s.append(trio.current_time() - started_at)
+                assert max(latencies_s) < SERVED_WITHIN_S
+                nursery.cancel_scope.cancel()
