--- a/src/hawthornmast/forwarding/connection.py
+++ b/src/hawthornmast/forwarding/connection.py
@@ -49,7 +49,7 @@
             with self.io_scope:
                 while await self._serve_request():
                     pass
-            if self._read_overdue and self._reader.step:
+            if self._read_overdue and self._reader.is_reading:
                 with trio.move_on_after(self._server.limits.write_s):
                     await self._refuse(
                         Turn(parser=self._reader.parser),
--- a/src/hawthornmast/forwarding/reader.py
+++ b/src/hawthornmast/forwarding/reader.py
@@ -32,10 +32,9 @@
         Parser of the next request.
     idle
         No byte of the next request has arrived.
-    step
-        Part of a request that is being read, empty between requests.
     deadline
-        Monotonic time by which the step ends.
+        Monotonic time by which the part of a request that is being read must
+        have arrived.
     held_bytes
         Size of the request bodies that the connection holds in memory.
     """
@@ -47,12 +46,12 @@
         "_limits",
         "_server",
         "_sock",
+        "_step",
         "_writer",
         "deadline",
         "held_bytes",
         "idle",
         "parser",
-        "step",
     )
 
     def __init__(
@@ -70,7 +69,7 @@
         self._idle_scope = trio.CancelScope()
         self._idle_since = trio.current_time()
         self.idle = True
-        self.step = ""
+        self._step = ""
         self.deadline = math.inf
         self.held_bytes = 0
         self.parser = self._make_parser()
@@ -112,10 +111,15 @@
         """Whether the client has sent all that it sends."""
         return self.parser.trailing_data[1]
 
+    @property
+    def is_reading(self) -> bool:
+        """Whether a request is being read."""
+        return bool(self._step)
+
     def is_overdue(self, now: float) -> bool:
         """Return whether the client is slow to send a request."""
         return now >= self.deadline or (
-            bool(self.step) and now >= self._server.end_at
+            bool(self._step) and now >= self._server.end_at
         )
 
     def cancel_overdue_idle(self, now: float) -> None:
@@ -136,11 +140,11 @@
         """Return the refusal of a request that took too long to read."""
         if trio.current_time() >= self._server.end_at:
             return BadInputError(503, "closing")
-        return BadInputError(408, f"slow-{self.step}")
+        return BadInputError(408, f"slow-{self._step}")
 
     def finish_step(self) -> None:
         """Stop limiting the time."""
-        self.step = ""
+        self._step = ""
         self.deadline = math.inf
 
     async def read(self, *, ahead_bytes: int | None = None) -> Turn | None:
@@ -161,12 +165,12 @@
             self.deadline = now + limits.idle_s
         else:
             self.deadline = now + limits.header_s
-        self.step = "header"
+        self._step = "header"
         try:
             head = await self._read_head()
             if head is None:
                 return None
-            self.step = "body"
+            self._step = "body"
             request = turn.request = parse_head(
                 head, limits, self._client, self._server.dialect
             )
@@ -191,7 +195,7 @@
         """Read the body of a request that waited for its turn."""
         assert turn.request is not None
         turn.body_pending = False
-        self.step = "body"
+        self._step = "body"
         self.deadline = trio.current_time() + self._limits.body_s
         try:
             await self._read_body(turn, turn.request)
