--- a/src/hawthornmast/forwarding/exchange.py
+++ b/src/hawthornmast/forwarding/exchange.py
@@ -1,25 +1,21 @@
 """One exchange of a request and a response with an upstream."""
 
-from collections import deque
 from collections.abc import Callable
-import fcntl
 import math
 import re
 import socket
-import struct
-import termios
 
 import attrs
 import h11
 import trio
 
 from hawthornmast.forwarding import sockets
+from hawthornmast.forwarding.connections import UpstreamConnection
 from hawthornmast.forwarding.headers import RawHeaders
+from hawthornmast.forwarding.memory import ResponseMemory
+from hawthornmast.forwarding.memory import SMALL_PIECE_BYTES
 from hawthornmast.forwarding.serialization import read_headers
 
-_TCP_USER_TIMEOUT_MS = 1500
-_READ_BYTES = 65536
-_MAX_HEADER_BYTES = 32768
 _MAX_INFORMATIONAL_RESPONSES = 8
 """Maximum number of informational responses before the final one."""
 
@@ -28,6 +24,16 @@
 head fits into one or two packets, and a lost one is sent again within this
 time."""
 
+_CHUNKS_PER_TURN = 8
+"""Number of chunks of a body that are parsed before other tasks run."""
+
+_SHORT_PART_BYTES = 1024
+_MAX_SHORT_PARTS = 64
+"""Number of parts in a row below ``_SHORT_PART_BYTES`` after which reading
+pauses, so that many upstreams that send single bytes don't take all time."""
+
+_SHORT_PART_PAUSE_S = 0.005
+
 _BODILESS_STATUSES = frozenset({204, 304})
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}(?: |$)")
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"\btimeout\s*=\s*(\d{1,6})\b", re.I)
@@ -75,109 +81,6 @@
     has_body: bool = False
 
 
-class UpstreamConnection:
-    """A pooled connection to an upstream."""
-
-    __slots__ = (
-        "_awaits_slow_reader",
-        "closed",
-        "h11_connection",
-        "has_identifiers",
-        "idle_s",
-        "idle_since",
-        "pool",
-        "sock",
-    )
-
-    def __init__(self, sock: socket.socket, pool: "ConnectionPool") -> None:
-        self.sock = sock
-        self.closed = False
-        self._awaits_slow_reader = False
-        self.pool = pool
-        self.idle_since = 0.0
-        self.idle_s = math.inf
-        # Whether a response on it carried the identifier of its request.
-        self.has_identifiers = False
-        self.h11_connection = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=_MAX_HEADER_BYTES
-        )
-        pool.open += 1
-
-    def close(self) -> None:
-        """Close the connection; further calls have no effect."""
-        if not self.closed:
-            self.closed = True
-            self.pool.open -= 1
-            self.sock.close()
-
-    def detect_lost_path(self) -> None:
-        """Let the connection fail early when the peer acknowledges no data."""
-        self._set_user_timeout(_TCP_USER_TIMEOUT_MS)
-        self._awaits_slow_reader = False
-
-    def await_slow_reader(self) -> None:
-        """Let the peer take its time to read what is sent next.
-
-        The early failure must not apply then: Linux applies the timeout also
-        to a peer that acknowledges each probe, but whose receive window is
-        closed because it reads slowly.
-        """
-        self._set_user_timeout(0)
-        self._awaits_slow_reader = True
-
-    def finish_request(self) -> bool:
-        """Return whether the peer has acknowledged the request.
-
-        If so, the connection can be used again, and fails early.
-        """
-        if self._awaits_slow_reader:
-            try:
-                unacknowledged = count_unacknowledged(self.sock)
-            except OSError:
-                # Unknown, so the connection is not used again.
-                return False
-            if unacknowledged:
-                return False
-            self.detect_lost_path()
-        return True
-
-    def _set_user_timeout(self, timeout_ms: int) -> None:
-        self.sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
-        )
-
-    def is_expired(self, now: float) -> bool:
-        """Return whether the connection exceeded its idle timeout."""
-        return now - self.idle_since >= self.idle_s
-
-    def is_reusable(self) -> bool:
-        """Return whether the connection is open and has no unread data."""
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
-
-
-def count_unacknowledged(sock: socket.socket) -> int:
-    """Return the number of bytes that the peer has not acknowledged yet."""
-    buffer = fcntl.ioctl(sock, termios.TIOCOUTQ, struct.pack("i", 0))
-    (count,) = struct.unpack("i", buffer)
-    return int(count)
-
-
-class ConnectionPool:
-    """Open connections to one upstream."""
-
-    __slots__ = ("idle", "open")
-
-    def __init__(self) -> None:
-        self.idle: deque[UpstreamConnection] = deque()
-        self.open = 0
-
-
 class Exchange:
     """An exchange whose response head was received.
 
@@ -185,6 +88,8 @@
     ----------
     return_connection
         Returns the connection to its pool.
+    memory
+        Counts the part of the body that is held.
 
     Attributes
     ----------
@@ -198,7 +103,9 @@
 
     __slots__ = (
         "_conn",
+        "_memory",
         "_return_connection",
+        "_short_parts",
         "_values",
         "body",
         "complete",
@@ -211,7 +118,9 @@
         return_connection: Callable[[UpstreamConnection], None],
         conn: UpstreamConnection,
         head: h11.Response,
+        memory: ResponseMemory,
     ) -> None:
+        self._memory = memory
         self._return_connection = return_connection
         self._conn = conn
         self.status = head.status_code
@@ -219,6 +128,7 @@
         self._values = dict(self.headers)
         self.body = bytearray()
         self.complete = False
+        self._short_parts = 0
 
     @property
     def connection_has_identifiers(self) -> bool:
@@ -236,29 +146,70 @@
     async def read(self) -> bytes:
         """Return the next part of the body, empty once it is complete.
 
-        Raises OSError or ``h11.RemoteProtocolError`` for a truncated body.
+        Chunks that were received together are returned as one part. Raises
+        OSError or ``h11.RemoteProtocolError`` for a truncated body.
         """
         h11_connection = self._conn.h11_connection
-        while True:
+        parts: list[bytes] = []
+        while not self.complete:
             event = h11_connection.next_event()
             if event is h11.NEED_DATA:
-                data = await sockets.receive(self._conn.sock, _READ_BYTES)
+                if parts:
+                    break
+                await self._pause_after_short_parts()
+                data = await sockets.receive(
+                    self._conn.sock, self._memory.piece_bytes
+                )
                 h11_connection.receive_data(data)
             elif type(event) is h11.Data:
-                return bytes(event.data)
+                parts.append(event.data)
+                if len(parts) % _CHUNKS_PER_TURN == 0:
+                    await trio.lowlevel.checkpoint()
             elif type(event) is h11.EndOfMessage:
                 self.complete = True
-                return b""
             else:
                 raise h11.RemoteProtocolError("connection closed early")
+        part = b"".join(parts)
+        if len(part) < _SHORT_PART_BYTES:
+            self._short_parts += 1
+        else:
+            self._short_parts = 0
+        return part
 
-    async def fill_buffer(self, size: int) -> None:
-        """Read the body until it is complete or exceeds ``size`` bytes."""
+    async def _pause_after_short_parts(self) -> None:
+        """Let more of the body arrive if it comes in many short parts."""
+        if self._short_parts > _MAX_SHORT_PARTS:
+            await trio.sleep(_SHORT_PART_PAUSE_S)
+
+    async def fill_buffer(self, size: int, *, whole: bool = False) -> None:
+        """Read the body until it is complete or exceeds ``size`` bytes.
+
+        While the memory for responses is full, a small piece is read only.
+
+        Parameters
+        ----------
+        whole
+            Read up to ``size`` bytes also then, for a client to which the
+            body can't be streamed.
+        """
         while len(self.body) <= size:
             chunk = await self.read()
             if not chunk:
                 return
             self.body += chunk
+            self._memory.hold(len(chunk))
+            if (
+                self._memory.is_full
+                and not whole
+                and len(self.body) >= SMALL_PIECE_BYTES
+            ):
+                return
+
+    def discard_body(self) -> None:
+        """Free the part of the body that was read so far."""
+        if self.body:
+            self._memory.release(len(self.body))
+            self.body = bytearray()
 
     def release(self, *, reusable: bool) -> None:
         """Return the connection to its pool, or close it.
@@ -269,6 +220,7 @@
             The response belongs to the request. After a response to another
             request, later ones on the connection may be mismatched as well.
         """
+        self.discard_body()
         if reusable and self.complete:
             self._return_connection(self._conn)
         else:
@@ -276,9 +228,9 @@
 
 
 async def read_head(
-    conn: UpstreamConnection, progress: Progress
+    conn: UpstreamConnection, progress: Progress, memory: ResponseMemory
 ) -> h11.Response:
-    """Read the head of the final response.
+    """Read the head of the final response, with the beginning of its body.
 
     Raises OSError or ``h11.RemoteProtocolError`` if none comes, also when what
     comes has no end.
@@ -291,7 +243,9 @@
     informational_count = 0
     while True:
         if need_data:
-            data = await _receive_by(conn.sock, head_deadline)
+            data = await _receive_by(
+                conn.sock, memory.piece_bytes, head_deadline
+            )
             progress.response_started = progress.response_started or bool(data)
             h11_connection.receive_data(data)
         event = h11_connection.next_event()
@@ -311,12 +265,14 @@
             head_deadline = trio.current_time() + _HEAD_TIMEOUT_S
 
 
-async def _receive_by(sock: socket.socket, deadline: float) -> bytes:
+async def _receive_by(
+    sock: socket.socket, size: int, deadline: float
+) -> bytes:
     """Receive data, or raise TimeoutError at the deadline."""
     if deadline == math.inf:
-        return await sockets.receive(sock, _READ_BYTES)
+        return await sockets.receive(sock, size)
     with trio.move_on_at(deadline):
-        return await sockets.receive(sock, _READ_BYTES)
+        return await sockets.receive(sock, size)
     raise TimeoutError(f"response head incomplete after {_HEAD_TIMEOUT_S} s")
 
 
