Refuse responses with an invalid status

Cause: statuses from 600 to 999 were passed on to clients, and a body after a status from 100 to 199 was parsed as the next response.

Change: both readers of responses refuse statuses above 599 and informational responses that declare a body; the attempt fails with its outcome unknown.

--- a/src/hawthornmast/daemon/tests/test_probes.py
+++ b/src/hawthornmast/daemon/tests/test_probes.py
@@ -64,6 +64,21 @@
         assert runtime.left == ["u0"]
         nursery.cancel_scope.cancel()
 
+    @pytest.mark.parametrize("status", ["000", "100", "600"])
+    async def test_ignores_a_response_with_an_invalid_status(
+        self, nursery, status
+    ):
+        # Guards against an upstream that gets no more requests because of a
+        # response that is none.
+        standins, upstreams = await _start(nursery, 1)
+        standins[0].faults = attrs.evolve(
+            standins[0].faults, leaving=True, status_text=status
+        )
+        runtime = _Runtime(upstreams)
+        await _make_prober(runtime, "a", reachable=("a",)).probe_all()
+        assert runtime.left == []
+        nursery.cancel_scope.cancel()
+
     async def test_probes_the_upstreams_of_an_unreachable_owner(self, nursery):
         standins, upstreams = await _start(nursery, 6)
         for standin in standins:
--- a/src/hawthornmast/forwarding/exchange.py
+++ b/src/hawthornmast/forwarding/exchange.py
@@ -16,6 +16,7 @@
 from hawthornmast.forwarding import sockets
 from hawthornmast.forwarding.headers import RawHeaders
 from hawthornmast.forwarding.serialization import read_headers
+from hawthornmast.http import check_status
 
 _TCP_USER_TIMEOUT_MS = 1500
 _READ_BYTES = 65536
@@ -297,8 +298,10 @@
         event = h11_connection.next_event()
         need_data = event is h11.NEED_DATA
         if type(event) is h11.Response:
+            check_status(event)
             return event
         if type(event) is h11.InformationalResponse:
+            check_status(event)
             informational_count += 1
             head_deadline = math.inf
             if informational_count > _MAX_INFORMATIONAL_RESPONSES:
--- a/src/hawthornmast/http/__init__.py
+++ b/src/hawthornmast/http/__init__.py
@@ -13,12 +13,14 @@
 from hawthornmast.http.server import Handler
 from hawthornmast.http.server import open_server
 from hawthornmast.http.server import serve_connection
+from hawthornmast.http.statuses import check_status
 
 __all__ = [
     "Client",
     "Handler",
     "Request",
     "Response",
+    "check_status",
     "fetch",
     "json_response",
     "open_server",
--- a/src/hawthornmast/http/client.py
+++ b/src/hawthornmast/http/client.py
@@ -9,6 +9,7 @@
 from hawthornmast.common import StepError
 from hawthornmast.http.messages import Headers
 from hawthornmast.http.messages import Response
+from hawthornmast.http.statuses import check_status
 
 MAX_RESPONSE_BYTES = 8_388_608
 _RECEIVE_BYTES = 65536
@@ -141,7 +142,10 @@
                         "connection closed before the response"
                     )
                 connection.receive_data(bytes(data))
+            elif isinstance(event, h11.InformationalResponse):
+                check_status(event)
             elif isinstance(event, h11.Response):
+                check_status(event)
                 head = event
             elif isinstance(event, h11.Data):
                 content += event.data
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -74,6 +74,9 @@
         Send a 103 response before the final one.
     status
         Status of successful responses.
+    status_text
+        Sent in place of the status of each response, whether or not it is
+        one; None for the actual status.
     extra_headers
         Pairs of name and value with which each response begins.
     body_bytes
@@ -115,6 +118,7 @@
     two_lengths: bool = False
     informational: bool = False
     status: int = 200
+    status_text: str | None = None
     extra_headers: list[list[str]] = attrs.Factory(list)
     body_bytes: int = 0
     keyed_bytes: int = 0
--- a/standins/responses.py
+++ b/standins/responses.py
@@ -37,6 +37,12 @@
     return response[:30] if faults.cut == "head" else response
 
 
+def replace_status(response: bytes, text: str) -> bytes:
+    """Return a response with another text in place of its status."""
+    version, _, rest = response.partition(b" ")
+    return b"%s %s %s" % (version, text.encode(), rest[len(b"200 ") :])
+
+
 async def send_endless(
     stream: trio.SocketStream,
     status: int,
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -18,6 +18,7 @@
 from standins.faults import Faults
 from standins.responses import format_faulty_response
 from standins.responses import make_late_copy
+from standins.responses import replace_status
 from standins.responses import send_endless
 
 _log = logging.getLogger(__name__)
@@ -191,7 +192,13 @@
         leaving = faults.leaving or faults.leaving_health
         content = json.dumps({"load": load, "leaving": leaving}).encode()
         return await self._send(
-            stream, connection, request, status, [], content, Faults()
+            stream,
+            connection,
+            request,
+            status,
+            [],
+            content,
+            Faults(status_text=faults.status_text),
         )
 
     async def _run(
@@ -387,6 +394,8 @@
         if request.method != b"HEAD" and status not in (204, 304):
             data += connection.send(h11.Data(data=content)) or b""
         data += connection.send(h11.EndOfMessage()) or b""
+        if faults.status_text is not None:
+            data = replace_status(data, faults.status_text)
         self._last_responses[stream] = data
         await stream.send_all(data)
         return (
