Keep keys from upstreams when teams are introduced

Cause: a request that was read before the configuration had teams was sent with its key if it waited for a slot meanwhile, and one whose key passed to another team was sent under the former team's name. Keys of more than 512 bytes were refused whatever the configuration says.

Change: each check of the key sets the request's team. The request line has team= and a counter by team if the configuration has teams.

--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -34,7 +34,7 @@
 from hawthornmast.gateway.outcomes import MIN_RETRY_AFTER_S
 from hawthornmast.gateway.services import ServiceRegistry
 from hawthornmast.gateway.stopping import StopSchedule
-from hawthornmast.gateway.teams import find_request_team
+from hawthornmast.gateway.teams import assign_team
 from hawthornmast.gateway.upstreams import ResponseAssessment
 from hawthornmast.gateway.upstreams import UpstreamDialect
 from hawthornmast.routing import Configuration
@@ -153,11 +153,9 @@
             return Err(
                 build_error_response(404, "no-route", detail=request.service)
             )
-        found = find_request_team(configuration, route, request)
+        found = assign_team(configuration, route, request)
         if isinstance(found, Err):
             return Err(_refuse_key(found.err_value))
-        if configuration.teams is not None:
-            request.team = found.ok_value.name if found.ok_value else ""
         return Ok(
             _AuthorizedRoute(
                 route=route,
@@ -326,15 +324,11 @@
         A request that may have run gets the answer that it would have had.
         """
         configuration = self._provider.configuration
-        if (
-            configuration is None
-            or configuration.version == context.trace.revision
-        ):
+        if configuration is None:
             return None
-        found = find_request_team(
-            configuration, context.route, context.request
-        )
+        found = assign_team(configuration, context.route, context.request)
         if isinstance(found, Ok):
+            context.team = found.ok_value
             return None
         context.trace.steps.append("refused:key-withdrawn")
         return context.last_answer or _refuse_key("key-withdrawn")
--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -487,6 +487,12 @@
         self.metrics.count_request(
             trace.entry, answer.outcome, answer.status, total_s
         )
+        if request.team is not None:
+            self.metrics.count_team_request(request.team, answer.status)
+        # Without teams in the configuration, the line has no such field.
+        team: dict[str, Any] = (
+            {} if request.team is None else {"team": request.team or "-"}
+        )
         log_event(
             _LOG,
             "request",
@@ -506,6 +512,7 @@
                 (trio.current_time() - self.listing.confirmed_at) * 1000
             ),
             left=trace.client_disconnected,
+            **team,
         )
 
     def _record_bad_input(self, kind: str) -> None:
--- a/src/hawthornmast/gateway/metrics.py
+++ b/src/hawthornmast/gateway/metrics.py
@@ -73,6 +73,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self._team_requests = prometheus_client.Counter(
+            "hawthornmast_team_requests",
+            "Finished requests by team, empty without a valid key.",
+            ["team", "status"],
+            registry=self.registry,
+        )
         self._bad_input = prometheus_client.Counter(
             "hawthornmast_bad_input",
             "Input of clients that was refused.",
@@ -87,6 +93,15 @@
         self._requests.labels(route, outcome.value, str(status)).inc()
         self._latency.labels(route).observe(latency_s)
 
+    def count_team_request(self, team: str, status: int) -> None:
+        """Count a finished request by its team.
+
+        The status is counted by its class, to bound the number of series,
+        except for refusals of keys and rates.
+        """
+        label = str(status) if status in (401, 429) else f"{status // 100}xx"
+        self._team_requests.labels(team, label).inc()
+
     def count_bad_input(self, kind: str) -> None:
         """Count refused input."""
         self._bad_input.labels(kind).inc()
--- a/src/hawthornmast/gateway/teams.py
+++ b/src/hawthornmast/gateway/teams.py
@@ -10,13 +10,15 @@
 from hawthornmast.routing import Team
 
 
-def find_request_team(
+def assign_team(
     configuration: Configuration, route: Route, request: ClientRequest
 ) -> Result[Team | None, str]:
-    """Return the team of a request; the error is the reason of a refusal.
+    """Set the team of a request; the error is the reason of a refusal.
 
     The team is None if the configuration has no teams, or if a public route
-    is requested without a valid key.
+    is requested without a valid key. A request that was authorized by an
+    earlier configuration with teams keeps its key from upstreams when the
+    newest has none.
 
     Parameters
     ----------
@@ -33,6 +35,7 @@
     team = None
     if request.key_digest is not None:
         team = configuration.find_team(request.key_digest)
+    request.team = team.name if team is not None else ""
     if team is not None or route.public:
         return Ok(team)
     return Err(request.key_error or "key-unknown")
--- a/src/hawthornmast/platform/headers.py
+++ b/src/hawthornmast/platform/headers.py
@@ -17,7 +17,7 @@
 
 _RESERVED_HEADERS = frozenset({names.DEADLINE, names.EXPECTED_INSTANCE})
 _KEY_HEADERS = frozenset({names.AUTHORIZATION, names.TEAM})
-_KEY = re.compile(rb"bearer +([!-~]{1,512})", re.IGNORECASE)
+_KEY = re.compile(rb"bearer +([!-~]+)", re.IGNORECASE)
 _MISDIRECTED_REQUEST = 421
 _SERVICE_UNAVAILABLE = 503
 _DECIMAL = re.compile(rb"[0-9]{1,18}(?:\.[0-9]{1,9})?")
--- a/src/hawthornmast/platform/tests/test_headers.py
+++ b/src/hawthornmast/platform/tests/test_headers.py
@@ -66,6 +66,12 @@
         request = make_request(authorization="bearer k1")
         assert request.key_digest == digest_key(b"k1")
 
+    def test_long_key(self) -> None:
+        # Guards against a key that the configuration allows and that is
+        # refused because of its length; the size of heads is limited.
+        request = make_request(authorization="Bearer " + "k" * 5000)
+        assert request.key_digest == digest_key(b"k" * 5000)
+
     def test_missing_key(self) -> None:
         assert make_request().key_error == "key-missing"
 
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -117,6 +117,7 @@
         host: str = "boxes.example",
         member: int = 0,
         timeout_ms: int = 3000,
+        headers: tuple[tuple[str, str], ...] = (),
         body: bytes = b"",
     ) -> http.Response:
         """Send one attempt to a member; raise when there is no response."""
@@ -130,6 +131,7 @@
                 ("Host", host),
                 ("Hawthornmast-Attempt-Id", f"attempt-{self._attempts}"),
                 ("Hawthornmast-Request-Deadline", str(timeout_ms)),
+                *headers,
             ),
             body=body,
             timeout=timeout_ms / 1000 + 1.0,
