Let teams take turns for the slots of a service

Cause: requests of all teams of a route waited in one queue, so that a burst of one team delayed and refused those of all others.

Change: a queue for each entry and team (limits/queues.py). Estimates count only the turns that go first. Queues of unlisted entries whose requests are refused are discarded; they were kept for good.

--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -244,6 +244,7 @@
             context.entry,
             deadline=context.deadline,
             exclude=context.excluded_ids,
+            team=context.team.name if context.team is not None else "",
         )
         if isinstance(admitted, Err):
             if context.last_answer is not None:
--- a/src/hawthornmast/limits/dispatcher.py
+++ b/src/hawthornmast/limits/dispatcher.py
@@ -2,10 +2,8 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import math
 import random as random_module
 
-import attrs
 from result import Err
 from result import Ok
 from result import Result
@@ -18,11 +16,13 @@
 from hawthornmast.limits.admission import Admission
 from hawthornmast.limits.admission import Reason
 from hawthornmast.limits.admission import Refusal
+from hawthornmast.limits.queues import Queue
+from hawthornmast.limits.queues import QueueTable
 from hawthornmast.limits.waiting import SlotPool
 from hawthornmast.limits.waiting import Waiter
 
 _SMOOTHING_FACTOR = 0.1
-"""Weight of the newest sample in the exponential moving averages."""
+"""Weight of the newest service time in its moving average."""
 
 _MIN_RETRY_AFTER_S = 0.25
 """Minimum delay advised to a refused client before a retry."""
@@ -39,51 +39,6 @@
 is lost.
 """
 
-_MIN_SHARE = 1e-6
-"""Replaces a share of 0 as a divisor."""
-
-
-@attrs.define(kw_only=True, eq=False)
-class _Queue:
-    """Queued and running requests of one entry."""
-
-    entry: Entry
-    # A dict keeps the order of arrival and removes a waiter in constant time.
-    waiting: dict[int, Waiter] = attrs.field(factory=dict)
-    running: int = 0
-    last_turn: int = 0
-    listed: bool = True
-    # Mean interval between admissions since the queue became non-empty.
-    admission_interval: float = 0.0
-    last_admission_at: float = 0.0
-
-    @property
-    def share(self) -> float:
-        """Share of the entry, bounded away from 0 for use as a divisor."""
-        return max(self.entry.share, _MIN_SHARE)
-
-    def classify(self, slots: int) -> tuple[bool, Rank]:
-        """Return the class of the next request; lower classes go first."""
-        over_share = self.running >= self.entry.share * slots - 1e-9
-        return over_share, self.entry.rank
-
-    def order(self, slots: int) -> tuple[bool, Rank, float, int]:
-        """Return the sort key of the next request among the entries."""
-        # Ties go to the entry whose last admission is the oldest.
-        return (
-            *self.classify(slots),
-            self.running / self.share,
-            self.last_turn,
-        )
-
-    def record_admission(self, now: float) -> None:
-        """Update the interval between admissions of queued requests."""
-        gap = now - self.last_admission_at
-        self.admission_interval += _SMOOTHING_FACTOR * (
-            gap - self.admission_interval
-        )
-        self.last_admission_at = now
-
 
 class Dispatcher:
     """Admits requests of one service to the slots of its pool.
@@ -117,11 +72,7 @@
         self._pool = pool
         self._clock = clock
         self._random = random
-        self._queues = {
-            entry.name: _Queue(entry=entry) for entry in service.entries
-        }
-        self._waiting = 0
-        self._turn_count = 0
+        self._queues = QueueTable(service.entries)
         self._mean_service_time = 0.0
         # Usable slots of the pool, None after a change until they are needed.
         self._usable_slots: int | None = None
@@ -134,13 +85,23 @@
         *,
         deadline: float,
         exclude: Iterable[str] = (),
+        team: str = "",
     ) -> Result[Admission, Refusal]:
         """Wait for a slot until ``deadline``.
 
         Does not execute a trio checkpoint if the outcome is known
         immediately.
+
+        Parameters
+        ----------
+        exclude
+            Identifiers of upstreams that must not be selected.
+        team
+            Team of the request, empty without one. Teams take turns.
         """
-        waiter = self.enqueue(entry, deadline=deadline, exclude=exclude)
+        waiter = self.enqueue(
+            entry, deadline=deadline, exclude=exclude, team=team
+        )
         if waiter.outcome is not None:
             return waiter.outcome
         event = trio.Event()
@@ -167,38 +128,50 @@
         *,
         deadline: float,
         exclude: Iterable[str] = (),
+        team: str = "",
         notify: Callable[[], None] | None = None,
     ) -> Waiter:
         """Admit, queue or refuse a request without waiting."""
         now = self._clock()
+        queue = self._queues.find(entry, team)
         waiter = Waiter(
             entry=entry.name,
+            team=team,
             deadline=deadline,
             arrived=now,
             exclude=frozenset(exclude),
         )
-        queue = self._get_queue(entry)
+        self._place(queue, waiter, now, retryable=entry.idempotent)
+        if waiter.outcome is not None:
+            self._queues.discard_if_unused(queue)
+        waiter.notify = notify
+        return waiter
+
+    def _place(
+        self, queue: Queue, waiter: Waiter, now: float, *, retryable: bool
+    ) -> None:
+        """Set the outcome of a new request, or add it to its queue."""
         refusal = self._check_admissible(waiter, now)
         if refusal is not None:
             waiter.outcome = Err(refusal)
-            return waiter
-        if not self._waiting:
+            return
+        if not self._queues.waiting:
             upstream = self._pool.take(
                 waiter.exclude,
-                retryable=entry.idempotent,
+                retryable=retryable,
                 time_left_fraction=waiter.time_left_fraction(now),
             )
             if upstream is not None:
                 waiter.outcome = self._grant(queue, waiter, upstream, now)
-                return waiter
+                return
         # Checked only here, since a slot taken above implies a candidate.
         if not self._pool.has_candidate(waiter.exclude):
             waiter.outcome = Err(self._refuse(Reason.NO_UPSTREAM))
-            return waiter
+            return
         refusal = self._ensure_queue_place(queue, waiter, now)
         if refusal is not None:
             waiter.outcome = Err(refusal)
-            return waiter
+            return
         if not queue.waiting:
             # Starts from the mean interval over all slots, because the first
             # few intervals alone could refuse urgent requests by chance.
@@ -206,66 +179,46 @@
                 1, self._slots
             )
             queue.last_admission_at = now
-        queue.waiting[id(waiter)] = waiter
-        self._waiting += 1
+        self._queues.add(queue, waiter)
         self._dispatch()
-        waiter.notify = notify
-        return waiter
 
     def cancel(self, waiter: Waiter) -> None:
         """Cancel a request; a slot granted to it goes to the next one."""
         if waiter.outcome is None:
-            self._remove(waiter)
+            self._queues.remove(waiter)
         elif isinstance(waiter.outcome, Ok):
             waiter.outcome.ok_value.release()
 
     def redispatch(self) -> None:
         """Dispatch after a change of the standing or number of slots."""
         self._usable_slots = None
-        if self._waiting:
+        if self._queues.waiting:
             self._dispatch()
 
     def update_service(self, service: Service) -> None:
         """Apply a new revision; queued requests keep their places."""
         self._service = service
-        listed = {entry.name: entry for entry in service.entries}
-        for name, queue in list(self._queues.items()):
-            queue.listed = name in listed
-            if queue.listed:
-                queue.entry = listed[name]
-            else:
-                self._discard_if_unused(name)
-        for name, entry in listed.items():
-            if name not in self._queues:
-                self._queues[name] = _Queue(entry=entry)
+        self._queues.update(service.entries)
         self.redispatch()
 
     def close(self) -> None:
         """Refuse queued and future requests; running ones may finish."""
         self._closed = True
-        for queue in list(self._queues.values()):
+        for queue in list(self._queues):
             for waiter in list(queue.waiting.values()):
                 self._resolve(waiter, Err(self._refuse(Reason.CLOSING)))
 
     def count_waiting(self) -> int:
         """Return the number of queued requests."""
-        return self._waiting
+        return self._queues.waiting
 
     def count_demand(self) -> dict[Rank, int]:
         """Return the number of running and queued requests by rank."""
         demand = dict.fromkeys(Rank, 0)
-        for queue in self._queues.values():
+        for queue in self._queues:
             demand[queue.entry.rank] += queue.running + len(queue.waiting)
         return demand
 
-    def _get_queue(self, entry: Entry) -> _Queue:
-        queue = self._queues.get(entry.name)
-        if queue is None:
-            # The request was routed under a revision that has been replaced.
-            queue = _Queue(entry=entry, listed=False)
-            self._queues[entry.name] = queue
-        return queue
-
     def _check_admissible(self, waiter: Waiter, now: float) -> Refusal | None:
         if self._closed:
             return self._refuse(Reason.CLOSING)
@@ -274,7 +227,7 @@
         return None
 
     def _ensure_queue_place(
-        self, queue: _Queue, waiter: Waiter, now: float
+        self, queue: Queue, waiter: Waiter, now: float
     ) -> Refusal | None:
         entry = queue.entry
         latest = waiter.deadline - self._compute_margin(waiter)
@@ -292,10 +245,10 @@
                 Reason.QUEUE_FULL, f"queue_limit={entry.queue_limit}"
             )
         limit = self._service.queue_limit
-        if self._waiting < limit:
+        if self._queues.waiting < limit:
             return None
         text = f"service queue_limit={limit}"
-        victim = self._select_victim(queue)
+        victim = self._queues.select_victim(queue, limit)
         if victim is queue or not victim.waiting:
             return self._refuse(Reason.QUEUE_FULL, text)
         newest = victim.waiting[next(reversed(victim.waiting))]
@@ -303,38 +256,12 @@
         return None
 
     def _exceeds_limits(
-        self, queue: _Queue, waiter: Waiter, seconds: float
+        self, queue: Queue, waiter: Waiter, seconds: float
     ) -> bool:
         """Return whether rate limits leave no request for a waiter in time."""
-        own = queue.classify(self._slots)
-        ahead = sum(
-            len(other.waiting)
-            for other in self._queues.values()
-            if other is queue or other.classify(self._slots) < own
-        )
+        ahead = self._queues.count_waiting_before(queue, self._slots)
         return ahead + 1 > self._pool.count_allowed(seconds, waiter.exclude)
 
-    def _select_victim(self, arriving: _Queue) -> _Queue:
-        """Return the queue that gives up a place for a new request.
-
-        Queues beyond their share of the service's queue limit come first,
-        then those of the lowest rank, then those with the most requests per
-        share.
-        """
-        limit = self._service.queue_limit
-
-        def excess(queue: _Queue) -> tuple[bool, Rank, float]:
-            count = len(queue.waiting) + (queue is arriving)
-            over_share = count > queue.entry.share * limit
-            return over_share, queue.entry.rank, count / queue.share
-
-        candidates = [
-            queue
-            for queue in self._queues.values()
-            if queue.waiting or queue is arriving
-        ]
-        return max(candidates, key=excess)
-
     def _compute_margin(self, waiter: Waiter) -> float:
         """Return the seconds that must remain when a request starts.
 
@@ -344,34 +271,18 @@
         half = (waiter.deadline - waiter.arrived) / 2
         return min(self._margin * self._mean_service_time, half)
 
-    def _estimate_wait(self, queue: _Queue, now: float) -> float:
+    def _estimate_wait(self, queue: Queue, now: float) -> float:
         """Return the expected wait of a new request of the entry.
 
         The interval between admissions from a non-empty queue accounts for
-        requests of other entries that go first. For an empty queue, the
-        requests of classes that go first are counted instead.
+        requests of other entries and teams that go first. For an empty queue,
+        the requests that go first are counted instead.
         """
         if queue.waiting:
-            gap = now - queue.last_admission_at
-            admission_interval = (
-                queue.admission_interval
-                + _SMOOTHING_FACTOR * max(0.0, gap - queue.admission_interval)
-            )
-            return len(queue.waiting) * admission_interval
+            return len(queue.waiting) * queue.estimate_interval(now)
         if not self._slots:
             return 0.0
-        own = queue.classify(self._slots)
-        ahead = len(queue.waiting) + 1
-        for other in self._queues.values():
-            theirs = other.classify(self._slots)
-            if other is queue or theirs >= own:
-                continue
-            count = len(other.waiting)
-            if theirs[1] >= own[1]:
-                # It goes first only until it uses its share of the slots.
-                limit = math.ceil(other.entry.share * self._slots)
-                count = min(count, limit - other.running)
-            ahead += count
+        ahead = self._queues.count_before(queue, self._slots) + 1
         return ahead * self._mean_service_time / self._slots
 
     @property
@@ -400,10 +311,10 @@
         # excludes no upstream, there is none for any request.
         without_slot: set[tuple[frozenset[str], bool]] = set()
         now = self._clock()
-        while self._waiting and (frozenset(), True) not in without_slot:
+        while self._queues.waiting and (frozenset(), True) not in without_slot:
             waiter = None
             upstream = None
-            for queue in self._sort_queues():
+            for queue in self._queues.iterate_in_order(self._slots):
                 retryable = queue.entry.idempotent
                 if (frozenset(), retryable) in without_slot:
                     continue
@@ -432,25 +343,16 @@
                 granted = self._grant(queue, waiter, upstream, now)
                 self._resolve(waiter, granted)
 
-    def _sort_queues(self) -> list[_Queue]:
-        waiting = [queue for queue in self._queues.values() if queue.waiting]
-        return sorted(waiting, key=lambda queue: queue.order(self._slots))
-
     def _grant(
-        self, queue: _Queue, waiter: Waiter, upstream: Upstream, now: float
+        self, queue: Queue, waiter: Waiter, upstream: Upstream, now: float
     ) -> Ok[Admission]:
-        name = waiter.entry
-        queue.running += 1
-        self._turn_count += 1
-        queue.last_turn = self._turn_count
+        self._queues.start(queue)
 
         def release() -> None:
             self._pool.release(upstream.upstream_id)
-            queue.running -= 1
+            self._queues.finish(queue)
             self._record_service_time(self._clock() - now)
-            if not queue.listed:
-                self._discard_if_unused(name)
-            if self._waiting:
+            if self._queues.waiting:
                 self._dispatch()
 
         admission = Admission(
@@ -461,23 +363,11 @@
     def _resolve(
         self, waiter: Waiter, outcome: Result[Admission, Refusal]
     ) -> None:
-        self._remove(waiter)
+        self._queues.remove(waiter)
         waiter.outcome = outcome
         if waiter.notify is not None:
             waiter.notify()
 
-    def _remove(self, waiter: Waiter) -> None:
-        queue = self._queues[waiter.entry]
-        if queue.waiting.pop(id(waiter), None) is not None:
-            self._waiting -= 1
-            self._discard_if_unused(waiter.entry)
-
-    def _discard_if_unused(self, name: str) -> None:
-        """Remove the queue of an unlisted entry once it is empty and idle."""
-        queue = self._queues.get(name)
-        if queue and not (queue.listed or queue.waiting or queue.running):
-            del self._queues[name]
-
     def _record_service_time(self, seconds: float) -> None:
         if self._mean_service_time:
             self._mean_service_time += _SMOOTHING_FACTOR * (
@@ -500,7 +390,9 @@
         """
         backlog_s = 0.0
         if self._slots:
-            backlog_s = self._waiting * self._mean_service_time / self._slots
+            backlog_s = (
+                self._queues.waiting * self._mean_service_time / self._slots
+            )
         wait_s = min(wait_s, _MAX_RETRY_AFTER_S)
         base = max(_MIN_RETRY_AFTER_S, backlog_s, wait_s)
         return Refusal(
--- a/src/hawthornmast/limits/waiting.py
+++ b/src/hawthornmast/limits/waiting.py
@@ -62,6 +62,7 @@
     """
 
     entry: str
+    team: str = ""
     deadline: float
     arrived: float
     exclude: frozenset[str]
--- a/tests/test_teams.py
+++ b/tests/test_teams.py
@@ -397,3 +397,31 @@
             ]
             assert "rank=urgent" in lines[0]
             assert "rank=standard" in lines[1]
+
+
+class TestTurns:
+    """Teams take turns at a service with too few slots."""
+
+    async def test_burst_of_another_team_delays_no_request(self) -> None:
+        # Guards against a member that doesn't tell the dispatcher the team.
+        teams: list[dict[str, Any]] = [
+            {"Name": "couriers", "ApiKeys": [KEY]},
+            {"Name": "packers", "ApiKeys": [OTHER_KEY]},
+        ]
+        async with run_teams(boxes=1) as deployment:
+            await publish(deployment, make_teams(9, *teams))
+            set_faults(deployment, service_s=0.5)
+            async with trio.open_nursery() as nursery:
+                for _ in range(12):
+                    nursery.start_soon(send_with_key, deployment)
+                await trio.sleep(0.2)
+                response = await deployment.send(
+                    "GET", "/read/1", headers=authorize(OTHER_KEY)
+                )
+                assert response.status == 200
+            executions = deployment.backends["boxes-0"].executions
+            keys = [execution.key for execution in executions]
+            # Four requests had the slots already; those that get one next
+            # are sent at the same time.
+            assert 4 <= keys.index("attempt-13") < 8
+            assert len(keys) == 13
