--- a/src/hawthornmast/forwarding/exchange.py
+++ b/src/hawthornmast/forwarding/exchange.py
@@ -15,6 +15,7 @@
 from hawthornmast.forwarding.memory import ResponseMemory
 from hawthornmast.forwarding.memory import SMALL_PIECE_BYTES
 from hawthornmast.forwarding.serialization import read_headers
+from hawthornmast.http import check_status
 
 _MAX_INFORMATIONAL_RESPONSES = 8
 """Maximum number of informational responses before the final one."""
@@ -251,8 +252,10 @@
         event = h11_connection.next_event()
         need_data = event is h11.NEED_DATA
         if type(event) is h11.Response:
+            check_status(event)
             return event
         if type(event) is h11.InformationalResponse:
+            check_status(event)
             informational_count += 1
             head_deadline = math.inf
             if informational_count > _MAX_INFORMATIONAL_RESPONSES:
--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -35,7 +35,7 @@
 from hawthornmast.gateway.outcomes import MIN_RETRY_AFTER_S
 from hawthornmast.gateway.services import ServiceRegistry
 from hawthornmast.gateway.stopping import StopSchedule
-from hawthornmast.gateway.teams import find_request_team
+from hawthornmast.gateway.teams import assign_team
 from hawthornmast.gateway.upstreams import ResponseAssessment
 from hawthornmast.gateway.upstreams import UpstreamDialect
 from hawthornmast.limits import Admission
@@ -171,11 +171,9 @@
             return Err(
                 build_error_response(404, "no-route", detail=request.service)
             )
-        found = find_request_team(configuration, route, request)
+        found = assign_team(configuration, route, request)
         if isinstance(found, Err):
             return Err(_refuse_key(found.err_value))
-        if configuration.teams is not None:
-            request.team = found.ok_value.name if found.ok_value else ""
         return Ok(
             _AuthorizedRoute(
                 route=route,
@@ -264,6 +262,7 @@
             context.entry,
             deadline=context.deadline,
             exclude=context.excluded_ids,
+            team=context.team.name if context.team is not None else "",
         )
         if isinstance(admitted, Err):
             if context.last_answer is not None:
@@ -361,10 +360,9 @@
         configuration = self._provider.configuration
         if configuration is None:
             return None
-        found = find_request_team(
-            configuration, context.route, context.request
-        )
+        found = assign_team(configuration, context.route, context.request)
         if isinstance(found, Ok):
+            context.team = found.ok_value
             return None
         context.trace.steps.append("refused:key-withdrawn")
         return context.last_answer or _refuse_key("key-withdrawn")
