Keep a new process from going back within an era

Cause: seeded schedules of returns, faults and writes found a restarted member that read the newest configuration and then went back to its peers' earlier one: it had first read the era after the write, so that it had no evidence of it. With several returns, a copy had a configuration again that had been replaced, under a higher version.

Change: members state the revision at which their configuration was written, and judge it again when they learn an earlier first revision of the era. What was in force before is recognized by its digest in any copy; a known version with a content never seen was assigned again.

--- a/src/hawthornmast/gateway/snapshots.py
+++ b/src/hawthornmast/gateway/snapshots.py
@@ -60,9 +60,13 @@
     first_revision
         The lowest revision that the member knows of in that era, None if it
         knows none.
-    configuration_era, configuration_digest
-        Era in which its configuration is known to be the operator's newest,
-        and its digest.
+    configuration_era
+        Era in which its configuration is known to be the operator's newest.
+    configuration_written
+        Revision at which its configuration was written, as read in the era;
+        0 if it isn't known.
+    configuration_digest
+        Digest of its configuration.
     held_digest
         Digest of the upstreams that it holds back.
     """
@@ -70,6 +74,7 @@
     era: int = 0
     first_revision: int | None = None
     configuration_era: int = 0
+    configuration_written: int = 0
     configuration_digest: bytes = b""
     held_digest: bytes = b""
 
@@ -143,11 +148,14 @@
 
 
 def _decode_era_summary(value: Any) -> EraSummary:
-    era, first_revision, configuration_era, digest, held_digest = value
+    era, first_revision, configuration_era, written, digest, held_digest = (
+        value
+    )
     return EraSummary(
         era=_decode_era(era),
         first_revision=None if first_revision is None else int(first_revision),
         configuration_era=_decode_era(configuration_era),
+        configuration_written=int(written),
         configuration_digest=bytes(digest),
         held_digest=bytes(held_digest),
     )
@@ -222,6 +230,7 @@
                     eras.era,
                     eras.first_revision,
                     eras.configuration_era,
+                    eras.configuration_written,
                     departures,
                 ]
             )
--- a/src/hawthornmast/gateway/sources.py
+++ b/src/hawthornmast/gateway/sources.py
@@ -49,6 +49,7 @@
 from hawthornmast.gateway.snapshots import StateSnapshot
 from hawthornmast.gateway.snapshots import StateSummary
 from hawthornmast.gateway.versions import ConfigurationState
+from hawthornmast.gateway.versions import NEVER_WRITTEN
 from hawthornmast.membership.gossip import Gossip
 from hawthornmast.membership.listing import UpstreamListing
 from hawthornmast.routing import Configuration
@@ -208,10 +209,12 @@
         if not era:
             return EraSummary()
         is_newest = era == self._eras.era
+        written = self._state.written
         return EraSummary(
             era=era,
             first_revision=self._eras.first_revision if is_newest else None,
             configuration_era=self._state.order.era,
+            configuration_written=written.number if written.era == era else 0,
             configuration_digest=self._state.digest(),
             held_digest=listing.departures.digest,
         )
@@ -239,9 +242,12 @@
         eras = summary.eras
         if not self._learn_eras(eras, sender):
             return
-        order = EraRevision(eras.configuration_era, summary.version)
+        written = EraRevision(eras.era, eras.configuration_written)
+        order = self._state.rank(
+            EraRevision(eras.configuration_era, summary.version), written
+        )
         if self._state.is_same(summary.version, eras.configuration_digest):
-            self._state.promote(order, eras.configuration_digest)
+            self._state.promote(order, eras.configuration_digest, written)
             self._configuration_reads.learn(
                 summary.configuration_read, now - summary.configuration_age_s
             )
@@ -289,6 +295,7 @@
         self._eras.learn(eras.era, origin=peer.instance_id)
         if eras.era and eras.first_revision is not None:
             self._eras.learn_first_revision(eras.first_revision)
+            self._state.reconsider()
         return True
 
     def _holds_back_others(self, eras: EraSummary) -> bool:
@@ -327,7 +334,12 @@
         )
 
     def accept(
-        self, configuration: Configuration, origin: str, *, era: int = 0
+        self,
+        configuration: Configuration,
+        origin: str,
+        *,
+        era: int = 0,
+        written: EraRevision = NEVER_WRITTEN,
     ) -> bool:
         """Apply a configuration if it is newer than the one in force.
 
@@ -335,10 +347,12 @@
         ----------
         era
             Era in which it is known to be the operator's newest.
+        written
+            As in ``ConfigurationState``.
         """
         gap_s = self._configuration_reads.age_s() if self.version else 0.0
         order = EraRevision(era, configuration.version)
-        if not self._state.offer(configuration, order):
+        if not self._state.offer(configuration, order, written):
             return False
         self.configuration_gap_s = gap_s
         self._on_configuration(configuration, origin)
@@ -444,7 +458,12 @@
         if published is not None:
             self._eras.observe(published.position)
             order = self._state.order_published(published)
-            self.accept(published.configuration, "platform", era=order.era)
+            self.accept(
+                published.configuration,
+                "platform",
+                era=order.era,
+                written=EraRevision(published.position.era, published.written),
+            )
         if self._state.confirms(published):
             self._configuration_reads.record_read(asked_at)
         return True
@@ -493,6 +512,10 @@
                         snapshot.configuration,
                         peer.instance_id,
                         era=snapshot.eras.configuration_era,
+                        written=EraRevision(
+                            snapshot.eras.era,
+                            snapshot.eras.configuration_written,
+                        ),
                     )
                 self._apply_peer_list(snapshot, peer, asked_at=asked_at)
             except (ValueError, TypeError, IndexError) as error:
--- a/src/hawthornmast/gateway/versions.py
+++ b/src/hawthornmast/gateway/versions.py
@@ -6,7 +6,6 @@
 lower than the configuration in force, or give the same number to another.
 """
 
-import collections
 from collections.abc import Callable
 import hashlib
 import logging
@@ -24,8 +23,12 @@
 
 _LOG = logging.getLogger("hawthornmast.gateway.versions")
 
-MAX_REPLACED = 64
-"""Number of replaced configurations whose digests are kept."""
+MAX_FORMER = 64
+"""Number of versions whose configurations are recognized when an older copy
+has them again."""
+
+NEVER_WRITTEN = EraRevision()
+"""Stands for a write that isn't known."""
 
 
 class ConfigurationState:
@@ -51,6 +54,10 @@
         The configuration in force, None before the first.
     order
         Its era and version.
+    written
+        Era in which it was read, and revision of the platform at which it was
+        written; revision 0 if it isn't known. Whether that belongs to the era
+        may become known only later.
     """
 
     def __init__(
@@ -60,14 +67,14 @@
         self._clock = clock
         self.configuration: Configuration | None = None
         self.order = EraRevision()
+        self.written = EraRevision()
         # Position of the latest read.
         self._read_at = EraRevision()
         # Write that the platform returns, and the time since when.
         self._returned: tuple[EraRevision, float] | None = None
         self._logged = EraRevision()
-        self._replaced: collections.deque[bytes] = collections.deque(
-            maxlen=MAX_REPLACED
-        )
+        # Digests of configurations that were in force, by version.
+        self._former: dict[int, set[bytes]] = {}
         # Both are empty until they are used.
         self._digest = b""
         self._compressed = b""
@@ -77,18 +84,23 @@
         """Version of the configuration in force, 0 if there is none."""
         return self.configuration.version if self.configuration else 0
 
-    def offer(self, configuration: Configuration, order: EraRevision) -> bool:
+    def offer(
+        self,
+        configuration: Configuration,
+        order: EraRevision,
+        written: EraRevision = NEVER_WRITTEN,
+    ) -> bool:
         """Put a configuration in force if it is newer.
 
         Returns whether it differs from the one before.
         """
+        order = self.rank(order, written)
         if order <= self.order:
             return False
-        self.order = order
+        self.order, self.written = order, written
         if configuration == self.configuration:
             return False
-        if self.configuration is not None and self._eras.era:
-            self._replaced.append(self.digest())
+        self._remember()
         self.configuration = configuration
         self._digest = self._compressed = b""
         return True
@@ -99,10 +111,20 @@
         """Return the order of a configuration read from the platform."""
         era = published.position.era
         version = published.configuration.version
-        if not era or (
-            self._is_newest(published) or self._has_other_content(published)
-        ):
+        if not era or self._is_newest(published):
             return EraRevision(era, version)
+        if published.configuration != self.configuration:
+            former = self._former.get(version, set())
+            if version == self.version:
+                former = former | {self.digest()}
+            if _digest(published.configuration) in former:
+                # An older copy has it again.
+                order = EraRevision(0, version)
+                self._log_waiting(published, order)
+                return order
+            if former and era > self.order.era:
+                # The version was assigned again.
+                return EraRevision(era, version)
         order = EraRevision(min(self.order.era, era), version)
         self._log_waiting(published, order)
         return order
@@ -137,10 +159,31 @@
             or published.position.era > self.order.era
         )
 
-    def promote(self, order: EraRevision, digest: bytes) -> None:
+    def promote(
+        self,
+        order: EraRevision,
+        digest: bytes,
+        written: EraRevision = NEVER_WRITTEN,
+    ) -> None:
         """Learn of a newer order of the configuration in force."""
-        if order > self.order and self.is_same(order.number, digest):
-            self.order = order
+        if self.is_same(order.number, digest):
+            self.order = max(self.order, order)
+            self.written = max(self.written, written)
+            self.reconsider()
+
+    def reconsider(self) -> None:
+        """Apply what has been learned of the era since the last read."""
+        self.order = max(self.order, self.rank(self.order, self.written))
+
+    def rank(self, order: EraRevision, written: EraRevision) -> EraRevision:
+        """Return the order of a configuration by the place of its write."""
+        if (
+            written.era == self._eras.era
+            and written.era > order.era
+            and self._eras.is_written_in_era(written.number)
+        ):
+            return EraRevision(written.era, order.number)
+        return order
 
     def is_same(self, version: int, digest: bytes) -> bool:
         """Return whether the configuration of a member is the one in force.
@@ -183,18 +226,13 @@
             or now - self._returned[1] >= ROLLBACK_SETTLE_S
         )
 
-    def _has_other_content(self, published: PublishedConfiguration) -> bool:
-        """Return whether a newer era has assigned the version again.
-
-        What was in force before comes from a copy.
-        """
-        configuration = published.configuration
-        return (
-            configuration.version == self.version
-            and published.position.era > self.order.era
-            and configuration != self.configuration
-            and _digest(configuration) not in self._replaced
-        )
+    def _remember(self) -> None:
+        """Remember the configuration that is being replaced."""
+        if self.configuration is None or not self._eras.era:
+            return
+        self._former.setdefault(self.version, set()).add(self.digest())
+        if len(self._former) > MAX_FORMER:
+            del self._former[next(iter(self._former))]
 
 
 def _pack(configuration: Configuration) -> bytes:
