Move what depends on the era out of the synchronizer

Change: what a member states of the era, and the refusal of reads of an earlier one, are functions of gateway/eras.py. No behaviour changes.

Measured: the tests of the synchronizer pass.

--- a/src/hawthornmast/gateway/sources.py
+++ b/src/hawthornmast/gateway/sources.py
@@ -19,7 +19,6 @@
 import logging
 import random
 from typing import Any
-from typing import TypeVar
 
 from result import Err
 from result import Ok
@@ -37,6 +36,8 @@
 from hawthornmast.gateway.confirmations import ConfirmationTracker
 from hawthornmast.gateway.confirmations import make_reader_id
 from hawthornmast.gateway.confirmations import ReadId
+from hawthornmast.gateway.eras import refuse_older
+from hawthornmast.gateway.eras import summarize_eras
 from hawthornmast.gateway.reading import CONFIGURATION_INTERVAL_S
 from hawthornmast.gateway.reading import DueReads
 from hawthornmast.gateway.reading import LISTING_INTERVAL_S
@@ -78,8 +79,6 @@
 """Interval at which a member compares with peers which upstreams it holds back
 after a new era of the platform."""
 
-_T = TypeVar("_T")
-
 
 SnapshotFetcher = Callable[
     [Instance, int], Awaitable[Result[bytes, StepError]]
@@ -196,27 +195,7 @@
             listing_age_s=self._listing_reads.age_s(),
             configuration_read=self._configuration_reads.read_id,
             listing_read=self._listing_reads.read_id,
-            eras=self._summarize_eras(),
-        )
-
-    def _summarize_eras(self) -> EraSummary:
-        """Return what is stated of the era of the list.
-
-        The member may know of a newer era, of which it has no list yet.
-        """
-        listing = self._listing
-        era = listing.position.era
-        if not era:
-            return EraSummary()
-        is_newest = era == self._eras.era
-        written = self._state.written
-        return EraSummary(
-            era=era,
-            first_revision=self._eras.first_revision if is_newest else None,
-            configuration_era=self._state.order.era,
-            configuration_written=written.number if written.era == era else 0,
-            configuration_digest=self._state.digest(),
-            held_digest=listing.departures.digest,
+            eras=summarize_eras(self._listing, self._state),
         )
 
     async def run(self) -> None:
@@ -328,7 +307,7 @@
             encoded_list=listing.encode() if listing.is_loaded else None,
             listing_age_s=self._listing_reads.age_s(),
             listing_read=self._listing_reads.read_id,
-            eras=self._summarize_eras(),
+            eras=summarize_eras(self._listing, self._state),
             departures=listing.departures.encode(),
             with_reads=with_reads,
         )
@@ -428,7 +407,7 @@
         asked_at = trio.current_time()
         result = await self._source.read_listing(timeout_s=READ_TIMEOUT_S)
         result = result.and_then(
-            lambda value: self._refuse_older(value, value.era)
+            lambda value: refuse_older(value, value.era, self._eras)
         )
         if not self.platform_calls.record(result):
             return False
@@ -448,8 +427,8 @@
             timeout_s=READ_TIMEOUT_S
         )
         result = result.and_then(
-            lambda value: self._refuse_older(
-                value, value.position.era if value else self._eras.era
+            lambda value: refuse_older(
+                value, value.position.era if value else self.era, self._eras
             )
         )
         if not self.platform_calls.record(result):
@@ -468,13 +447,6 @@
             self._configuration_reads.record_read(asked_at)
         return True
 
-    def _refuse_older(self, value: _T, era: int) -> Result[_T, StepError]:
-        """Refuse what was read of an era before the newest known one."""
-        if era >= self._eras.era:
-            return Ok(value)
-        detail = f"era {era} is older than {self._eras.era}"
-        return Err(StepError(step="read", detail=detail))
-
     async def _pull(self, peer: Instance, version: int) -> None:
         with log_failures("pull"):
             await self._pull_state(peer, version)
