--- a/src/hawthornmast/gateway/eras.py
+++ b/src/hawthornmast/gateway/eras.py
@@ -37,10 +37,16 @@
 
 
 def refuse_older(
-    value: _T, era: int, eras: EraTracker
+    value: _T, era: int | None, eras: EraTracker
 ) -> Result[_T, StepError]:
-    """Refuse what was read of an era before the newest known one."""
-    if era >= eras.era:
+    """Refuse what was read of an era before the newest known one.
+
+    Parameters
+    ----------
+    era
+        None if nothing was found, so that there is nothing to refuse.
+    """
+    if era is None or era >= eras.era:
         return Ok(value)
     detail = f"era {era} is older than {eras.era}"
     return Err(StepError(step="read", detail=detail))
--- a/src/hawthornmast/gateway/gauges.py
+++ b/src/hawthornmast/gateway/gauges.py
@@ -63,9 +63,9 @@
     )
     metrics.register_gauge(
         "hawthornmast_platform_era",
-        "Newest era of the platform, which increases when it returns to an"
-        " older copy.",
-        lambda: synchronizer.era,
+        "Era of the list of upstreams in force, which increases when the"
+        " platform returns to an older copy.",
+        lambda: synchronizer.summarize().eras.era,
     )
     metrics.register_gauge(
         "hawthornmast_datagram_bytes",
--- a/src/hawthornmast/gateway/sources.py
+++ b/src/hawthornmast/gateway/sources.py
@@ -175,11 +175,6 @@
         """Version of the configuration in force, 0 if there is none."""
         return self._state.version
 
-    @property
-    def era(self) -> int:
-        """The newest era of the platform that this member knows."""
-        return self._eras.era
-
     @property
     def uninitialized(self) -> bool:
         """Whether the configuration or the list of upstreams is unknown."""
@@ -428,7 +423,9 @@
         )
         result = result.and_then(
             lambda value: refuse_older(
-                value, value.position.era if value else self.era, self._eras
+                value,
+                value.position.era if value else self._eras.era,
+                self._eras,
             )
         )
         if not self.platform_calls.record(result):
