Drill an upstream that drains just after a store's return

Cause: no test tied the bound of a drain to a new era.

Change: a drain 0.05 and 0.5 s after the return reaches all members in 2.5 s.

--- a/src/hawthornmast/gateway/tests/test_rollback.py
+++ b/src/hawthornmast/gateway/tests/test_rollback.py
@@ -318,6 +318,22 @@
         await trio.sleep(BOUND_S)
         assert find_users(fleet, "u0") == set(fleet.members)
 
+    @pytest.mark.parametrize("after_s", [0.05, 0.5])
+    async def test_upstream_that_drains_in_the_new_era(
+        self,
+        autojump_clock: trio.testing.MockClock,
+        fleet: Fleet,
+        after_s: float,
+    ) -> None:
+        # Guards against an announcement that counts as an older state.
+        copy = fleet.platform.take_copy()
+        fleet.platform.revision += 50
+        await trio.sleep(1.5)
+        fleet.platform.restore(copy)
+        await trio.sleep(after_s)
+        fleet.platform.mark_leaving("u0")
+        assert await fleet.measure_spread("u0") <= BOUND_S
+
     @pytest.mark.parametrize("alone", [False, True])
     async def test_restarted_member_takes_the_state_of_its_peers(
         self,
