--- a/src/hawthornmast/gateway/sources.py
+++ b/src/hawthornmast/gateway/sources.py
@@ -19,7 +19,6 @@
 import logging
 import random
 from typing import Any
-from typing import TypeVar
 
 from result import Err
 from result import Ok
@@ -38,6 +37,8 @@
 from hawthornmast.gateway.confirmations import ConfirmationTracker
 from hawthornmast.gateway.confirmations import make_reader_id
 from hawthornmast.gateway.confirmations import ReadId
+from hawthornmast.gateway.eras import refuse_older
+from hawthornmast.gateway.eras import summarize_eras
 from hawthornmast.gateway.reading import CONFIGURATION_INTERVAL_S
 from hawthornmast.gateway.reading import DueReads
 from hawthornmast.gateway.reading import LISTING_INTERVAL_S
@@ -51,6 +52,7 @@
 from hawthornmast.gateway.snapshots import StateSummary
 from hawthornmast.gateway.snapshots import SUMMARY_FIELDS
 from hawthornmast.gateway.versions import ConfigurationState
+from hawthornmast.gateway.versions import NEVER_WRITTEN
 from hawthornmast.membership.gossip import Gossip
 from hawthornmast.membership.listing import UpstreamListing
 from hawthornmast.routing import Configuration
@@ -79,8 +81,6 @@
 """Interval at which a member compares with peers which upstreams it holds back
 after a new era of the platform."""
 
-_T = TypeVar("_T")
-
 
 SnapshotFetcher = Callable[
     [Instance, int], Awaitable[Result[bytes, StepError]]
@@ -177,11 +177,6 @@
         """Version of the configuration in force, 0 if there is none."""
         return self._state.version
 
-    @property
-    def era(self) -> int:
-        """The newest era of the platform that this member knows."""
-        return self._eras.era
-
     @property
     def uninitialized(self) -> bool:
         """Whether the configuration or the list of upstreams is unknown."""
@@ -197,25 +192,7 @@
             listing_age_s=self._listing_reads.age_s(),
             configuration_read=self._configuration_reads.read_id,
             listing_read=self._listing_reads.read_id,
-            eras=self._summarize_eras(),
-        )
-
-    def _summarize_eras(self) -> EraSummary:
-        """Return what is stated of the era of the list.
-
-        The member may know of a newer era, of which it has no list yet.
-        """
-        listing = self._listing
-        era = listing.position.era
-        if not era:
-            return EraSummary()
-        is_newest = era == self._eras.era
-        return EraSummary(
-            era=era,
-            first_revision=self._eras.first_revision if is_newest else None,
-            configuration_era=self._state.order.era,
-            configuration_digest=self._state.digest(),
-            held_digest=listing.departures.digest,
+            eras=summarize_eras(self._listing, self._state),
         )
 
     async def run(self) -> None:
@@ -262,9 +239,12 @@
         eras = summary.eras
         if not self._learn_eras(eras, sender):
             return
-        order = EraRevision(eras.configuration_era, summary.version)
+        written = EraRevision(eras.era, eras.configuration_written)
+        order = self._state.rank(
+            EraRevision(eras.configuration_era, summary.version), written
+        )
         if self._state.is_same(summary.version, eras.configuration_digest):
-            self._state.promote(order, eras.configuration_digest)
+            self._state.promote(order, eras.configuration_digest, written)
             self._configuration_reads.learn(
                 summary.configuration_read, now - summary.configuration_age_s
             )
@@ -312,6 +292,7 @@
         self._eras.learn(eras.era, origin=peer.instance_id)
         if eras.era and eras.first_revision is not None:
             self._eras.learn_first_revision(eras.first_revision)
+            self._state.reconsider()
         return True
 
     def _holds_back_others(self, eras: EraSummary) -> bool:
@@ -344,13 +325,18 @@
             encoded_list=listing.encode() if listing.is_loaded else None,
             listing_age_s=self._listing_reads.age_s(),
             listing_read=self._listing_reads.read_id,
-            eras=self._summarize_eras(),
+            eras=summarize_eras(self._listing, self._state),
             departures=listing.departures.encode(),
             with_reads=with_reads,
         )
 
     def accept(
-        self, configuration: Configuration, origin: str, *, era: int = 0
+        self,
+        configuration: Configuration,
+        origin: str,
+        *,
+        era: int = 0,
+        written: EraRevision = NEVER_WRITTEN,
     ) -> bool:
         """Apply a configuration if it is newer than the one in force.
 
@@ -358,10 +344,12 @@
         ----------
         era
             Era in which it is known to be the operator's newest.
+        written
+            As in ``ConfigurationState``.
         """
         gap_s = self._configuration_reads.age_s() if self.version else 0.0
         order = EraRevision(era, configuration.version)
-        if not self._state.offer(configuration, order):
+        if not self._state.offer(configuration, order, written):
             return False
         self.configuration_gap_s = gap_s
         self._on_configuration(configuration, origin)
@@ -437,7 +425,7 @@
         asked_at = trio.current_time()
         result = await self._source.read_listing(timeout_s=READ_TIMEOUT_S)
         result = result.and_then(
-            lambda value: self._refuse_older(value, value.era)
+            lambda value: refuse_older(value, value.era, self._eras)
         )
         if not self.platform_calls.record(result):
             return False
@@ -457,8 +445,10 @@
             timeout_s=READ_TIMEOUT_S
         )
         result = result.and_then(
-            lambda value: self._refuse_older(
-                value, value.position.era if value else self._eras.era
+            lambda value: refuse_older(
+                value,
+                value.position.era if value else self._eras.era,
+                self._eras,
             )
         )
         if not self.platform_calls.record(result):
@@ -467,18 +457,16 @@
         if published is not None:
             self._eras.observe(published.position)
             order = self._state.order_published(published)
-            self.accept(published.configuration, "platform", era=order.era)
+            self.accept(
+                published.configuration,
+                "platform",
+                era=order.era,
+                written=EraRevision(published.position.era, published.written),
+            )
         if self._state.confirms(published):
             self._configuration_reads.record_read(asked_at)
         return True
 
-    def _refuse_older(self, value: _T, era: int) -> Result[_T, StepError]:
-        """Refuse what was read of an era before the newest known one."""
-        if era >= self._eras.era:
-            return Ok(value)
-        detail = f"era {era} is older than {self._eras.era}"
-        return Err(StepError(step="read", detail=detail))
-
     async def _pull(self, peer: Instance, version: int) -> None:
         with log_failures("pull"):
             await self._pull_state(peer, version)
@@ -516,6 +504,10 @@
                         snapshot.configuration,
                         peer.instance_id,
                         era=snapshot.eras.configuration_era,
+                        written=EraRevision(
+                            snapshot.eras.era,
+                            snapshot.eras.configuration_written,
+                        ),
                     )
                 self._apply_peer_list(snapshot, peer, asked_at=asked_at)
             except (ValueError, TypeError, IndexError) as error:
