Import only what a member needs before it listens

Cause: a start imported the parts of the other kind of daemon (health monitor, slot allocator, tickets, documents, TOML) through the re-exports of packages, and the client library of Prometheus with the HTTP servers and mail parsers of the standard library. Garbage collections ran during the imports.

--- a/src/hawthornmast/catalogue/problems.py
+++ b/src/hawthornmast/catalogue/problems.py
@@ -1,6 +1,5 @@
 """Problems found in catalogue documents."""
 
-import difflib
 from typing import Any
 
 import attrs
@@ -45,6 +44,9 @@
     """Return the valid name most similar to ``name``, or an empty string."""
     if not isinstance(name, str):
         return ""
+    # Imported only here, since daemons of a platform read no documents.
+    import difflib
+
     found = difflib.get_close_matches(name[:_MAX_VALUE_LENGTH], names, n=1)
     return found[0] if found else ""
 
--- a/src/hawthornmast/catalogue/tables.py
+++ b/src/hawthornmast/catalogue/tables.py
@@ -1,7 +1,6 @@
 """Strict validation of TOML tables against attrs classes."""
 
 from collections.abc import Mapping
-import tomllib
 from typing import Any
 
 import attrs
@@ -43,6 +42,9 @@
     text: str, *, source: str
 ) -> Result[dict[str, Any], list[Problem]]:
     """Parse TOML; a syntax error is reported as a problem."""
+    # Imported only here, since daemons of a platform read no documents.
+    import tomllib
+
     try:
         return Ok(tomllib.loads(text))
     except (ValueError, RecursionError) as error:
--- a/src/hawthornmast/gateway/metrics.py
+++ b/src/hawthornmast/gateway/metrics.py
@@ -1,14 +1,15 @@
-"""Counters and histograms of one member."""
+"""Counters and histograms of one member.
 
+They are plain numbers until they are rendered, since the import of the client
+library of Prometheus is a considerable part of a start.
+"""
+
+import bisect
 from collections.abc import Callable
-from collections.abc import Iterator
 from collections.abc import Mapping
+import time
 
 import attrs
-import prometheus_client
-from prometheus_client import CollectorRegistry
-from prometheus_client.core import GaugeMetricFamily
-from prometheus_client.registry import Collector
 
 from hawthornmast.common import Outcome
 
@@ -25,80 +26,95 @@
     16.0,
 )
 
+Labels = tuple[str, ...]
 
-@attrs.frozen
-class _ServiceGauge(Collector):
-    """A value of each service that is read at each scrape."""
 
-    name: str
-    documentation: str
-    get_values: Callable[[], Mapping[str, float]]
+@attrs.define(kw_only=True, eq=False)
+class Count:
+    """A counter with the time at which it was created."""
 
-    def describe(self) -> Iterator[GaugeMetricFamily]:
-        """Return the metric without samples; the services are not read."""
-        yield self._make_family({})
+    value: int = 0
+    created_at: float = attrs.field(factory=time.time)
 
-    def collect(self) -> Iterator[GaugeMetricFamily]:
-        """Return one sample for each service."""
-        yield self._make_family(self.get_values())
 
-    def _make_family(self, values: Mapping[str, float]) -> GaugeMetricFamily:
-        family = GaugeMetricFamily(
-            self.name, self.documentation, labels=["service"]
-        )
-        for service, value in values.items():
-            family.add_metric([service], value)
-        return family
+@attrs.define(kw_only=True, eq=False)
+class Histogram:
+    """Latencies, counted by the upper bound of their bucket.
+
+    The last bucket has those above all bounds.
+    """
+
+    counts: list[int] = attrs.field(
+        factory=lambda: [0] * (len(LATENCY_BUCKETS_S) + 1)
+    )
+    sum_s: float = 0.0
+    created_at: float = attrs.field(factory=time.time)
+
+    def observe(self, latency_s: float) -> None:
+        """Count a latency."""
+        self.counts[bisect.bisect_left(LATENCY_BUCKETS_S, latency_s)] += 1
+        self.sum_s += latency_s
+
+
+@attrs.frozen(kw_only=True)
+class Gauge:
+    """A value that is read at each scrape, or one of each service."""
+
+    name: str
+    documentation: str
+    get_value: Callable[[], float] | None = None
+    get_service_values: Callable[[], Mapping[str, float]] | None = None
 
 
 class GatewayMetrics:
-    """Metrics of one process in a separate registry.
+    """Metrics of one process.
 
     Label values come from the configuration or from closed sets, never from
     clients, which bounds the number of time series.
+
+    Attributes
+    ----------
+    requests
+        Finished requests by route, outcome and status.
+    latencies
+        Time from a request's head to its answer, by route.
+    bad_input
+        Refused input of clients, by kind.
+    gauges
+        Values that are read at each scrape.
     """
 
     def __init__(self) -> None:
-        self.registry = CollectorRegistry(auto_describe=False)
-        self._requests = prometheus_client.Counter(
-            "hawthornmast_requests",
-            "Finished requests.",
-            ["route", "outcome", "status"],
-            registry=self.registry,
-        )
-        self._latency = prometheus_client.Histogram(
-            "hawthornmast_request_seconds",
-            "Time from a request's head to its answer.",
-            ["route"],
-            buckets=LATENCY_BUCKETS_S,
-            registry=self.registry,
-        )
-        self._bad_input = prometheus_client.Counter(
-            "hawthornmast_bad_input",
-            "Input of clients that was refused.",
-            ["kind"],
-            registry=self.registry,
-        )
+        self.requests: dict[Labels, Count] = {}
+        self.latencies: dict[Labels, Histogram] = {}
+        self.bad_input: dict[Labels, Count] = {}
+        self.gauges: list[Gauge] = []
 
     def count_request(
         self, route: str, outcome: Outcome, status: int, latency_s: float
     ) -> None:
         """Count a finished request and observe its latency."""
-        self._requests.labels(route, outcome.value, str(status)).inc()
-        self._latency.labels(route).observe(latency_s)
+        labels = (route, outcome.value, str(status))
+        count = self.requests.get(labels)
+        if count is None:
+            count = self.requests[labels] = Count()
+        count.value += 1
+        histogram = self.latencies.get((route,))
+        if histogram is None:
+            histogram = self.latencies[(route,)] = Histogram()
+        histogram.observe(latency_s)
 
     def count_bad_input(self, kind: str) -> None:
         """Count refused input."""
-        self._bad_input.labels(kind).inc()
+        self.bad_input.setdefault((kind,), Count()).value += 1
 
     def register_gauge(
         self, name: str, documentation: str, get_value: Callable[[], float]
     ) -> None:
         """Export a value that is read at each scrape."""
-        gauge = prometheus_client.Gauge(
-            name, documentation, registry=self.registry
+        self.gauges.append(
+            Gauge(name=name, documentation=documentation, get_value=get_value)
         )
-        gauge.set_function(get_value)
 
     def register_service_gauge(
         self,
@@ -107,8 +123,16 @@
         get_values: Callable[[], Mapping[str, float]],
     ) -> None:
         """Export a value of each service that is read at each scrape."""
-        self.registry.register(_ServiceGauge(name, documentation, get_values))
+        self.gauges.append(
+            Gauge(
+                name=name,
+                documentation=documentation,
+                get_service_values=get_values,
+            )
+        )
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        return prometheus_client.generate_latest(self.registry)
+        from hawthornmast.gateway.exposition import render_metrics
+
+        return render_metrics(self)
--- a/src/hawthornmast/gateway/tests/test_metrics.py
+++ b/src/hawthornmast/gateway/tests/test_metrics.py
@@ -1,6 +1,12 @@
 """Tests of the metrics of a member."""
 
+import re
+
+import prometheus_client
+
+from hawthornmast.common import Outcome
 from hawthornmast.gateway.metrics import GatewayMetrics
+from hawthornmast.gateway.metrics import LATENCY_BUCKETS_S
 
 
 class TestServiceGauge:
@@ -16,3 +22,47 @@
         rendered = metrics.render()
         assert b'g{service="billing"} 3.0' in rendered
         assert b"boxes" not in rendered
+
+
+class TestRender:
+    def test_same_text_as_the_objects_of_the_client_library(self) -> None:
+        # Guards against a change of the exported samples: counters are plain
+        # numbers here until they are rendered.
+        metrics = GatewayMetrics()
+        registry = prometheus_client.CollectorRegistry()
+        requests = prometheus_client.Counter(
+            "hawthornmast_requests",
+            "Finished requests.",
+            ["route", "outcome", "status"],
+            registry=registry,
+        )
+        latency = prometheus_client.Histogram(
+            "hawthornmast_request_seconds",
+            "Time from a request's head to its answer.",
+            ["route"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        bad_input = prometheus_client.Counter(
+            "hawthornmast_bad_input",
+            "Input of clients that was refused.",
+            ["kind"],
+            registry=registry,
+        )
+        gauge = prometheus_client.Gauge("g", "A gauge.", registry=registry)
+        gauge.set(3)
+        metrics.register_gauge("g", "A gauge.", lambda: 3)
+        for number, outcome in enumerate(Outcome):
+            latency_s = (0.0, 0.005, 0.3, 100.0)[number % 4]
+            route = f"r-{number % 2}"
+            metrics.count_request(route, outcome, 200, latency_s)
+            requests.labels(route, outcome.value, "200").inc()
+            latency.labels(route).observe(latency_s)
+        metrics.count_bad_input("header")
+        bad_input.labels("header").inc()
+        expected = prometheus_client.generate_latest(registry)
+        assert _without_times(metrics.render()) == _without_times(expected)
+
+
+def _without_times(text: bytes) -> bytes:
+    return re.sub(rb"(_created\{.*\}) .*", rb"\1", text)
--- a/src/hawthornmast/health/messages.py
+++ b/src/hawthornmast/health/messages.py
@@ -63,3 +63,7 @@
     group: str
     index: int
     remaining_s: float
+
+
+MESSAGE_TYPES = (HealthReport, PermitGrant, PermitRequest)
+"""Types of the messages between the owners of a service."""
--- a/src/hawthornmast/limits/__init__.py
+++ b/src/hawthornmast/limits/__init__.py
@@ -1,20 +1,26 @@
 """Admission control, retry budgets and the division of upstream slots."""
 
-from hawthornmast.limits.admission import Admission
-from hawthornmast.limits.admission import Reason
-from hawthornmast.limits.admission import Refusal
-from hawthornmast.limits.allocator import SlotAllocator
-from hawthornmast.limits.budget import RetryBudget
-from hawthornmast.limits.coverage import Coverage
-from hawthornmast.limits.dispatcher import Dispatcher
-from hawthornmast.limits.division import divide_statically
-from hawthornmast.limits.messages import SlotDemand
-from hawthornmast.limits.messages import SlotGrant
-from hawthornmast.limits.pool import UpstreamPool
-from hawthornmast.limits.shared import SharedPool
-from hawthornmast.limits.statements import StatementRegistry
-from hawthornmast.limits.statements import UpstreamStatement
-from hawthornmast.limits.window import FleetRetryBudget
+from typing import TYPE_CHECKING
+
+from hawthornmast.lazy import make_getattr
+
+if TYPE_CHECKING:
+    from hawthornmast.limits.admission import Admission
+    from hawthornmast.limits.admission import Reason
+    from hawthornmast.limits.admission import Refusal
+    from hawthornmast.limits.allocator import SlotAllocator
+    from hawthornmast.limits.budget import RetryBudget
+    from hawthornmast.limits.coverage import Coverage
+    from hawthornmast.limits.dispatcher import Dispatcher
+    from hawthornmast.limits.division import divide_statically
+    from hawthornmast.limits.messages import SlotDemand
+    from hawthornmast.limits.messages import SlotGrant
+    from hawthornmast.limits.pool import UpstreamPool
+    from hawthornmast.limits.shared import SharedPool
+    from hawthornmast.limits.statements import StatementRegistry
+    from hawthornmast.limits.statements import UpstreamStatement
+    from hawthornmast.limits.window import FleetRetryBudget
+
 
 __all__ = [
     "Admission",
@@ -33,3 +39,24 @@
     "FleetRetryBudget",
     "divide_statically",
 ]
+
+__getattr__ = make_getattr(
+    __name__,
+    {
+        "Admission": "admission",
+        "Reason": "admission",
+        "Refusal": "admission",
+        "SlotAllocator": "allocator",
+        "RetryBudget": "budget",
+        "Coverage": "coverage",
+        "Dispatcher": "dispatcher",
+        "divide_statically": "division",
+        "SlotDemand": "messages",
+        "SlotGrant": "messages",
+        "UpstreamPool": "pool",
+        "SharedPool": "shared",
+        "StatementRegistry": "statements",
+        "UpstreamStatement": "statements",
+        "FleetRetryBudget": "window",
+    },
+)
--- a/src/hawthornmast/platform/__main__.py
+++ b/src/hawthornmast/platform/__main__.py
@@ -1,5 +1,6 @@
 """Entry point of a daemon on the platform."""
 
+import gc
 import os
 import sys
 
@@ -13,6 +14,9 @@
     arrive meanwhile wait for the daemon.
     """
     block_signals()
+    # Nearly all objects of the imports live as long as the process; garbage
+    # collections would only visit them again and again.
+    gc.disable()
     from hawthornmast.platform.listening import open_client_listener
 
     path = os.environ.get(
@@ -21,6 +25,8 @@
     listener = open_client_listener(path)
     from hawthornmast.platform.process import run_process
 
+    gc.freeze()
+    gc.enable()
     return run_process(path, listener=listener)
 
 
