--- a/src/hawthornmast/gateway/tests/test_idle.py
+++ b/src/hawthornmast/gateway/tests/test_idle.py
@@ -1,6 +1,7 @@
 """Tests of what members do that carry no traffic."""
 
 import collections
+import random
 from typing import Any
 
 import pytest
@@ -11,6 +12,9 @@
 from hawthornmast.gateway.tests.fleet import Fleet
 from hawthornmast.membership import gossip as gossip_module
 from hawthornmast.membership import listing as listing_module
+from hawthornmast.membership.gossip import HEARTBEAT_S
+from hawthornmast.membership.gossip import LIVE_CACHE_S
+from hawthornmast.membership.gossip import LOSS_PERIODS
 
 ZONE_SIZE = 24
 SECONDS = 10
@@ -64,3 +68,40 @@
         assert counts["decode_entry"] == 0
         peers = ZONE_SIZE - 1
         assert counts["send"] / member_seconds <= HEARTBEATS_PER_S * peers
+
+    async def test_crash_is_noticed_no_later(
+        self,
+        autojump_clock: trio.testing.MockClock,
+        nursery: trio.Nursery,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        # Guards against a crash that is noticed later because the last
+        # heartbeat of the member waited at idle members.
+        fleet = Fleet(
+            (ZONE_SIZE, 3),
+            upstream_count=1,
+            nursery=nursery,
+            monkeypatch=monkeypatch,
+        )
+        await trio.sleep(5.0)
+        rng = random.Random(1)
+        zone = [host for host in fleet.members if host.startswith("10.0.")]
+        for host in rng.sample(zone, 6):
+            await trio.sleep(rng.uniform(1.0, 3.0))
+            fleet.dark.add(host)
+            crashed_at = trio.current_time()
+            others = [
+                fleet.members[item].gossip
+                for item in zone
+                if item not in fleet.dark
+            ]
+            while any(
+                item.host == host
+                for gossip in others
+                for item in gossip.live()
+            ):
+                await trio.sleep(0.01)
+            noticed_s = trio.current_time() - crashed_at
+            assert (
+                noticed_s <= HEARTBEAT_S * LOSS_PERIODS + LIVE_CACHE_S + 0.02
+            )
