Decide on shares of allowances that the fleet has in common

Cause: a team's rate applies to all members together, and nothing divided it.

Change: AllowanceLedger holds one member's shares and token buckets, decides on loans between members and on the own share of a zone's representative. A loan carries the lender's part of the bucket as tokens, and the end of a loan brings them back; without them, a team with a burst of a few requests is refused below its rate. The clock is passed in.

--- a/src/hawthornmast/limits/__init__.py
+++ b/src/hawthornmast/limits/__init__.py
@@ -4,10 +4,15 @@
 from hawthornmast.limits.admission import Reason
 from hawthornmast.limits.admission import Refusal
 from hawthornmast.limits.allocator import SlotAllocator
+from hawthornmast.limits.allowances import Allowance
+from hawthornmast.limits.allowances import AllowanceLedger
+from hawthornmast.limits.allowances import HolderPosition
 from hawthornmast.limits.budget import RetryBudget
 from hawthornmast.limits.coverage import Coverage
 from hawthornmast.limits.dispatcher import Dispatcher
 from hawthornmast.limits.division import divide_statically
+from hawthornmast.limits.loans import Loan
+from hawthornmast.limits.loans import LoanRequest
 from hawthornmast.limits.messages import SlotDemand
 from hawthornmast.limits.messages import SlotGrant
 from hawthornmast.limits.pool import UpstreamPool
@@ -18,8 +23,13 @@
 
 __all__ = [
     "Admission",
+    "Allowance",
+    "AllowanceLedger",
     "Coverage",
     "Dispatcher",
+    "HolderPosition",
+    "Loan",
+    "LoanRequest",
     "Reason",
     "Refusal",
     "RetryBudget",
