Exchange shares of the teams' rates between members

Cause: each member would admit a team's whole rate.

The settings give the number of zones and the bounds of the quota.

--- a/src/hawthornmast/gateway/datagrams.py
+++ b/src/hawthornmast/gateway/datagrams.py
@@ -1,4 +1,8 @@
-"""UDP messages between members: heartbeats, evidence, leaving upstreams."""
+"""UDP messages between members.
+
+They are heartbeats, evidence, notices of leaving upstreams, and requests and
+loans of allowances.
+"""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -28,6 +32,8 @@
     HEARTBEAT = 1
     EVIDENCE = 2
     LEAVING_UPSTREAM = 3
+    ALLOWANCE_REQUEST = 4
+    ALLOWANCE_LOAN = 5
 
 
 class DatagramTransport:
--- a/src/hawthornmast/gateway/options.py
+++ b/src/hawthornmast/gateway/options.py
@@ -24,6 +24,13 @@
     floor_share
         Share of a service's healthy upstreams that must receive requests
         while a part of its requests fails.
+    quota_window_s
+        Length in seconds of the sliding window in which the requests of a
+        team are counted against its rate.
+    quota_overshoot
+        Fraction by which they may exceed it, fleet-wide.
+    quota_slack
+        Requests by which they may exceed it in addition.
     """
 
     retry_ratio: float = 0.1
@@ -32,6 +39,9 @@
     grace_s: float = 6.0
     address_ttl_s: float = 1.0
     floor_share: float = 0.7
+    quota_window_s: float = 5.0
+    quota_overshoot: float = 0.25
+    quota_slack: float = 20.0
 
 
 @attrs.frozen(kw_only=True)
@@ -48,9 +58,12 @@
         Maximum number of client connections.
     bounds
         Bounds that the operators set.
+    zones
+        Number of zones of the deployment, the same on all members.
     """
 
     instance: Instance
     seeds: tuple[str, ...] = ()
     connections: int = 2000
     bounds: Bounds = Bounds()
+    zones: int = 1
--- a/src/hawthornmast/limits/allowances.py
+++ b/src/hawthornmast/limits/allowances.py
@@ -18,6 +18,7 @@
 from hawthornmast.limits.loans import Loan
 from hawthornmast.limits.loans import LOAN_TERM_S
 from hawthornmast.limits.loans import LoanRequest
+from hawthornmast.limits.loans import MIN_GIVEN_BACK
 
 SETTLE_S = 0.5
 """Time in seconds for which a member must be entitled to a greater own share
@@ -133,6 +134,9 @@
     tokens: float = 0.0
     share: float = 0.0
     refilled_at: float = 0.0
+    # Borrowed share that another member asked for and this one can spare.
+    owed: float = 0.0
+    owed_to: str = ""
 
     @property
     def capacity(self) -> float:
@@ -155,6 +159,18 @@
         self.share = share
         self.tokens = min(self.tokens, self.capacity)
 
+    def find_kept(self, now: float) -> float:
+        """Return the share that this member needs for a loan's term.
+
+        It has its tokens as well, of which a lower share holds fewer.
+        """
+        demand = self.demand.estimate_lower(now) * LOAN_TERM_S
+        refill = self.allowance.rate_per_s * LOAN_TERM_S
+        return max(
+            (demand - self.tokens) / refill,
+            demand / (refill + self.allowance.burst),
+        )
+
     def is_idle(self, now: float) -> bool:
         """Return whether nothing changes but the tokens."""
         return (
@@ -352,6 +368,10 @@
             account.lent.grant(borrower, share, now)
             account.tokens -= tokens
             account.refill(self._own_share, now)
+        excess = account.share - account.find_kept(now)
+        if wanted - share > _EPSILON and excess > MIN_GIVEN_BACK:
+            account.owed = min(wanted - share, excess)
+            account.owed_to = borrower
         return Loan(
             name=request.name,
             number=request.number,
@@ -424,9 +444,7 @@
         if not self._position.has_majority:
             return 0.0
         own_left = self._own_share - account.lent.sum_up(now)
-        kept = account.demand.estimate_lower(now)
-        kept /= account.allowance.rate_per_s
-        return max(0.0, min(own_left, account.share - kept))
+        return max(0.0, min(own_left, account.share - account.find_kept(now)))
 
     def _plan(
         self, account: _Account, waiting: int, now: float
@@ -448,19 +466,29 @@
             demand *= BORROW_MARGIN
         missing = min(1.0, demand / rate_per_s) - left
         if waiting:
-            # At least the share whose part of the burst holds the tokens.
+            # What is borrowed is spent, so that more of the share is needed:
+            # at least as much as has room for the tokens.
             wanted = max(MIN_WANTED_TOKENS, 2.0 * waiting)
             carrying = wanted / max(account.allowance.burst, wanted)
+            carrying += borrowed_share
             missing = max(missing, min(1.0 - left, carrying))
         if missing > _EPSILON and not lenders and not waiting:
             ahead = account.tokens + rate_per_s * left * BORROW_AHEAD_S
             if ahead >= demand * BORROW_AHEAD_S:
                 return []
         requests = []
-        for holder, share in self._divide(account, missing, now).items():
-            if share > 0.0 and not borrowed.is_due(holder, share, now):
-                continue
-            if share <= 0.0 and demand > 0.0 and account.tokens < low:
+        owed = account.owed > 0.0 and bool(lenders)
+        wanted_shares = (
+            self._give_back(account, now)
+            if owed
+            else self._divide(account, missing, now)
+        )
+        for holder, share in wanted_shares.items():
+            if not owed and (
+                not borrowed.is_due(holder, share, now)
+                if share > 0.0
+                else demand > 0.0 and account.tokens < low
+            ):
                 continue
             requests.append((holder, self._ask(account, holder, share, now)))
         if borrowed.sum_up(now) < borrowed_share:
@@ -473,6 +501,23 @@
             ]
         return requests
 
+    @staticmethod
+    def _give_back(account: _Account, now: float) -> dict[str, float]:
+        """Return the share to keep from each lender to which some is due.
+
+        What the asking member has lent itself goes first.
+        """
+        wanted: dict[str, float] = {}
+        lenders = account.borrowed.list_lenders(now)
+        for name in sorted(lenders, key=lambda key: key != account.owed_to):
+            held = account.borrowed.share_of(name, now)
+            part = min(account.owed, held)
+            if part > _EPSILON:
+                wanted[name] = held - part if held - part > _EPSILON else 0.0
+                account.owed -= part
+        account.owed = 0.0
+        return wanted
+
     def _divide(
         self, account: _Account, missing: float, now: float
     ) -> dict[str, float]:
@@ -503,6 +548,10 @@
             if added > _EPSILON:
                 wanted[name] = wanted.get(name, 0.0) + added
                 missing -= added
+        if missing > _EPSILON:
+            # A holder that has borrowed may give that back to its lender.
+            for name in spare:
+                wanted[name] = wanted.get(name, 0.0) + missing
         return wanted
 
     @staticmethod
--- a/src/hawthornmast/limits/loans.py
+++ b/src/hawthornmast/limits/loans.py
@@ -24,10 +24,14 @@
 """Time in seconds after which a request without an answer is sent again. Only
 the answer to the latest request counts, so it must exceed a round trip."""
 
-SPARE_EXPIRY_S = 0.25
+SPARE_EXPIRY_S = 0.1
 """Time in seconds after which a member asks a lender again that had less to
 spare than was asked for."""
 
+MIN_GIVEN_BACK = 0.1
+"""Share that a borrower gives back before it renews its loan, once it needs so
+much less than it has."""
+
 MAX_UNANSWERED = 3
 """Consecutive requests without an answer after which a lender is asked only
 every ``SILENT_RETRY_S`` seconds; it may be of an earlier version."""
@@ -249,7 +253,10 @@
             silent = record.unanswered >= MAX_UNANSWERED
             wait_s = SILENT_RETRY_S if silent else RESEND_S
             return now - record.sent_at >= wait_s
-        if record.terms.sum_up(now) < share and now >= record.spare_until:
+        held = record.terms.sum_up(now)
+        if held < share and (record.spare > 0.0 or now >= record.spare_until):
+            return True
+        if held > share + MIN_GIVEN_BACK:
             return True
         left_s = record.terms.find_end(now) - now
         return 0.0 < left_s < RENEWAL_FRACTION * LOAN_TERM_S
--- a/src/hawthornmast/limits/tests/allowance_schedules.py
+++ b/src/hawthornmast/limits/tests/allowance_schedules.py
@@ -322,6 +322,7 @@
             loan = ledger.receive_request(str(sender), message)
             if loan is not None:
                 self._send(receiver, [(str(sender), loan)])
+            self._send(receiver, ledger.borrow(NAME, 0))
         else:
             ledger.receive_loan(str(sender), message)
             waiting = len(self._queues[receiver])
--- a/src/hawthornmast/membership/gossip.py
+++ b/src/hawthornmast/membership/gossip.py
@@ -179,6 +179,23 @@
         order = self.ranked_zone_members()
         return not order or order[0] is self.instance
 
+    def count_zone_contacts(self) -> tuple[int, int]:
+        """Return how many ready daemons of this zone are live, and are known.
+
+        Both include this daemon. The known ones include those that were lost
+        within ``MEMBER_EXPIRY_S`` without a message that they are leaving.
+        """
+        in_contact = known = 1
+        for member in self._members.values():
+            if (
+                member.instance.zone == self.instance.zone
+                and member.instance.state is State.LIVE
+                and member.ready
+            ):
+                known += 1
+                in_contact += not self._is_lost(member)
+        return in_contact, known
+
     def representatives(self) -> list[Instance]:
         """Return the representatives of the other zones in this view."""
         self._get_live_members()
--- a/src/hawthornmast/platform/settings.py
+++ b/src/hawthornmast/platform/settings.py
@@ -110,6 +110,7 @@
                 100, int(file_descriptors * CLIENT_DESCRIPTOR_SHARE)
             ),
             bounds=_build_bounds(fields),
+            zones=max(1, sum(key.startswith("Zones.") for key in fields)),
         ),
         store_address=parse_address(fields["Platform.Address"]),
         ready_address=parse_address(fields["Listen.Ready"]),
@@ -139,5 +140,8 @@
     set_bound("retry_window_s", "BudgetWindow", parse_duration)
     set_bound("grace_s", "Grace", parse_duration)
     set_bound("floor_share", "FloorShare", parse_share)
+    set_bound("quota_window_s", "QuotaWindow", parse_duration)
+    set_bound("quota_overshoot", "QuotaOvershoot", float)
+    set_bound("quota_slack", "QuotaSlack", float)
     max_ttl_s = parse_duration(fields.get("Bounds.ttl_max") or "5s")
     return Bounds(address_ttl_s=min(ADDRESS_TTL_S, max_ttl_s), **values)
--- a/src/hawthornmast/platform/tests/test_settings.py
+++ b/src/hawthornmast/platform/tests/test_settings.py
@@ -44,6 +44,21 @@
 class TestParseSettings:
     """Known keys are parsed; unknown keys are ignored."""
 
+    def test_quota_and_zones(self) -> None:
+        # Guards against zones that aren't counted, each of which would then
+        # hold the whole rate of every team.
+        text = TEXT + (
+            "Bounds.QuotaWindow=4s\nBounds.QuotaOvershoot=0.1\n"
+            "Bounds.QuotaSlack=7\nZones.zone-a=region-1\n"
+            "Zones.zone-b=region-1\nZones.zone-c=region-2\n"
+        )
+        options = parse_settings(text, source="s").unwrap().options
+        assert options.zones == 3
+        assert options.bounds.quota_window_s == 4.0
+        assert options.bounds.quota_overshoot == 0.1
+        assert options.bounds.quota_slack == 7.0
+        assert parse_settings(TEXT, source="s").unwrap().options.zones == 1
+
     def test_fields(self) -> None:
         settings = parse_settings(TEXT, source="s").unwrap()
         options = settings.options
