Refuse the requests of a team over its rate

Cause: members ignored the rates of teams.

Change: a request takes a token of its team after its authorization and before the queue. A request with a body is refused before the body is read if no token comes soon. Further attempts are not charged. A refused request doesn't count for the retries of its service.

--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -29,6 +29,7 @@
 from hawthornmast.forwarding.upstream import UpstreamClient
 from hawthornmast.gateway.attempts import EvidenceRecorder
 from hawthornmast.gateway.attempts import RequestContext
+from hawthornmast.gateway.credit import TeamCredit
 from hawthornmast.gateway.evidence import EvidenceExchange
 from hawthornmast.gateway.outcomes import AttemptOutcomes
 from hawthornmast.gateway.outcomes import MIN_RETRY_AFTER_S
@@ -99,6 +100,8 @@
     evidence
         Receives an observation from each attempt that shows whether its
         upstream works.
+    credit
+        Admits requests at the rates of their teams.
     clock
         Monotonic time in seconds.
 
@@ -116,6 +119,7 @@
         *,
         dialect: UpstreamDialect,
         evidence: EvidenceExchange,
+        credit: TeamCredit,
         clock: Callable[[], float] = trio.current_time,
     ) -> None:
         self._provider = provider
@@ -124,6 +128,7 @@
         self._dialect = dialect
         self._recorder = EvidenceRecorder(evidence, clock=clock)
         self._outcomes = AttemptOutcomes(self._recorder, clock=clock)
+        self._credit = credit
         self._clock = clock
         self._splits = SplitBalancer()
         self.stop: StopSchedule | None = None
@@ -134,7 +139,11 @@
 
     def check(self, request: ClientRequest) -> ClientResponse | None:
         """Return a refusal that can be decided without the request's body."""
-        return self._authorize(request).err()
+        result = self._authorize(request)
+        if isinstance(result, Err):
+            return result.err_value
+        found = result.ok_value
+        return self._credit.check(found.team, request, found.route)
 
     def _authorize(
         self, request: ClientRequest
@@ -206,11 +215,15 @@
         )
         if not self._may_start(context):
             return self._refuse_stopping(context)
-        state.budget.count_request()
         if self.stop is not None:
             context.deadline = min(context.deadline, self.stop.end_at)
         answer: ClientResponse | None = None
         with open_scope(context.deadline):
+            refusal = await self._credit.admit(team, request, route)
+            if refusal is not None:
+                trace.steps.append(f"refused:{refusal.reason}")
+                return refusal
+            state.budget.count_request()
             while answer is None:
                 answer = await self._attempt(context)
         if answer is None:
--- a/src/hawthornmast/gateway/member.py
+++ b/src/hawthornmast/gateway/member.py
@@ -21,7 +21,11 @@
 from hawthornmast.forwarding.messages import ClientRequest
 from hawthornmast.forwarding.messages import ClientResponse
 from hawthornmast.forwarding.messages import Trace
+from hawthornmast.gateway.allowances import ALLOWANCE_KINDS
+from hawthornmast.gateway.allowances import AllowanceExchange
+from hawthornmast.gateway.allowances import read_boot_time
 from hawthornmast.gateway.calls import PlatformSource
+from hawthornmast.gateway.credit import TeamCredit
 from hawthornmast.gateway.datagrams import DatagramTransport
 from hawthornmast.gateway.datagrams import MessageKind
 from hawthornmast.gateway.evidence import EvidenceExchange
@@ -42,6 +46,7 @@
 from hawthornmast.gateway.statements import StatementExchange
 from hawthornmast.gateway.statements import STATEMENTS_PATH
 from hawthornmast.gateway.stopping import StopSchedule
+from hawthornmast.gateway.team_metrics import TeamCollector
 from hawthornmast.gateway.upstreams import UpstreamDialect
 from hawthornmast.limits import StatementRegistry
 from hawthornmast.membership.gossip import Gossip
@@ -50,6 +55,7 @@
 from hawthornmast.membership.placement import group_by_zone
 from hawthornmast.membership.placement import zone_rank_key
 from hawthornmast.routing import Configuration
+from hawthornmast.routing import Team
 
 _LOG = logging.getLogger("hawthornmast.gateway")
 
@@ -127,6 +133,13 @@
         self.statements = StatementExchange(
             self.services, gossip=self.gossip, send=self._send_leaving_notice
         )
+        self.allowances = AllowanceExchange(
+            self.gossip,
+            zones=options.zones,
+            send=self.datagrams.send,
+            clock=read_boot_time,
+        )
+        self.credit = TeamCredit(self.allowances, random_source=self._random)
         upstream_client = UpstreamClient(
             connect_s=CONNECT_TIMEOUT_S,
             allow_close_delimited=True,
@@ -138,6 +151,7 @@
             upstream_client,
             dialect=upstream_dialect,
             evidence=self.evidence,
+            credit=self.credit,
         )
         self.server = GatewayServer(
             self.forwarder,
@@ -156,6 +170,11 @@
             gossip=self.gossip,
             services=self.services,
         )
+        self.metrics.registry.register(
+            TeamCollector(
+                self.allowances.ledger, self.credit, self._list_teams
+            )
+        )
         self._nursery: trio.Nursery | None = None
         # Live and advertised members, updated when the membership changes.
         # They are those of this state: the number of changes so far and
@@ -298,6 +317,7 @@
         self._update_members()
         self._send_heartbeats(self.gossip.due_heartbeats())
         self.evidence.tick()
+        self.allowances.tick()
         position = self._find_position()
         slack = compute_retry_slack(
             self.options.bounds,
@@ -386,6 +406,9 @@
         if kind is MessageKind.EVIDENCE:
             self.evidence.receive(payload, sender)
             return
+        if kind in ALLOWANCE_KINDS:
+            self.allowances.receive(kind, payload, sender)
+            return
         if kind is MessageKind.LEAVING_UPSTREAM:
             self.statements.receive(payload, sender)
             return
@@ -437,6 +460,7 @@
             gap_ms=round(self.synchronizer.configuration_gap_s * 1000),
         )
         self.services.apply_configuration(configuration)
+        self.allowances.configure(configuration.teams)
         self._check_initialized()
         self.forwarder.reset_traffic_splits()
         limits = configuration.limits
@@ -448,6 +472,10 @@
             idle_s=limits.idle_s,
         )
 
+    def _list_teams(self) -> tuple[Team, ...]:
+        configuration = self.configuration
+        return (configuration.teams or ()) if configuration else ()
+
     def _apply_listing(self, origin: str) -> None:
         listed = self.listing.entries
         live_upstreams = {
--- a/src/hawthornmast/gateway/tests/fleet.py
+++ b/src/hawthornmast/gateway/tests/fleet.py
@@ -179,6 +179,9 @@
         self.members: dict[str, GatewayMember] = {}
         transport = type("Transport", (SimulatedTransport,), {"fleet": self})
         monkeypatch.setattr(member_module, "DatagramTransport", transport)
+        monkeypatch.setattr(member_module, "read_boot_time", trio.current_time)
+        zones = tuple(zones)
+        self._zone_count = len(zones)
         hosts = [
             (f"10.{zone}.0.{number}", f"zone-{zone}")
             for zone, count in enumerate(zones)
@@ -283,7 +286,9 @@
             peer_port=2,
         )
         member = GatewayMember(
-            GatewayOptions(instance=instance, seeds=seeds),
+            GatewayOptions(
+                instance=instance, seeds=seeds, zones=self._zone_count
+            ),
             PlatformReader(self.platform, host),
             client_dialect=PlatformClientDialect(),
             upstream_dialect=PlatformUpstreamDialect(),
--- a/src/hawthornmast/gateway/tests/support.py
+++ b/src/hawthornmast/gateway/tests/support.py
@@ -10,6 +10,7 @@
 from hawthornmast.common import Instance
 from hawthornmast.common import StepError
 from hawthornmast.common import Upstream
+from hawthornmast.forwarding.messages import ClientRequest
 from hawthornmast.gateway.options import Bounds
 from hawthornmast.gateway.services import ServiceRegistry
 from hawthornmast.gateway.services import ServiceState
@@ -54,6 +55,21 @@
     )
 
 
+def make_request(
+    *, received_at: float = 0.0, timeout_s: float | None = 2.0
+) -> ClientRequest:
+    """Return a request for the first route."""
+    return ClientRequest(
+        request_id="1",
+        method="GET",
+        target="/",
+        service="boxes.example",
+        headers=[],
+        received_at=received_at,
+        timeout_s=timeout_s,
+    )
+
+
 def make_services(*entries: ListedUpstream) -> ServiceRegistry:
     """Return services with the test configuration and upstreams."""
     services = ServiceRegistry(
