Keep the sum of lent shares until one of them ends

Cause: the sum is asked for with each token; with 60 members that borrow, it took half of the ledger's time (6 schedules: 17.7 s before, 13.4 s after, on a busy machine).

--- a/src/hawthornmast/limits/loans.py
+++ b/src/hawthornmast/limits/loans.py
@@ -121,6 +121,10 @@
         self._terms = [item for item in self._terms if item[1] > now]
         return max((share for share, _ in self._terms), default=0.0)
 
+    def find_first_end(self) -> float:
+        """Return the time at which the first of the shares ends."""
+        return min((until for _, until in self._terms), default=math.inf)
+
     def find_end(self, now: float) -> float:
         """Return the time until which the present share counts."""
         share = self.sum_up(now)
@@ -144,16 +148,28 @@
 
     def __init__(self) -> None:
         self._borrowers: dict[str, _Borrower] = {}
+        # The sum is asked for with each token, and a holder may have lent to
+        # dozens of members.
+        self._total = 0.0
+        self._total_until = -math.inf
 
     def sum_up(self, now: float) -> float:
         """Return the share that this member does without."""
-        total = 0.0
+        if now < self._total_until:
+            return self._total
+        self._total = 0.0
+        self._total_until = math.inf
         for name, borrower in list(self._borrowers.items()):
             if borrower.forget_at <= now:
                 del self._borrowers[name]
-            else:
-                total += borrower.terms.sum_up(now)
-        return total
+                continue
+            self._total += borrower.terms.sum_up(now)
+            self._total_until = min(
+                self._total_until,
+                borrower.forget_at,
+                borrower.terms.find_first_end(),
+            )
+        return self._total
 
     def accept(
         self, borrower: str, request: LoanRequest, now: float
@@ -166,6 +182,7 @@
         record = self._borrowers.setdefault(borrower, _Borrower())
         if request.number <= record.last_number:
             return None
+        self._total_until = -math.inf
         before = record.terms.sum_up(now)
         record.last_number = request.number
         record.forget_at = now + WITHHOLDING_TERMS * LOAN_TERM_S
@@ -174,6 +191,7 @@
 
     def grant(self, borrower: str, share: float, now: float) -> None:
         """Lend a share in total to a borrower whose request was accepted."""
+        self._total_until = -math.inf
         record = self._borrowers[borrower]
         record.terms.add(share, now + WITHHOLDING_TERMS * LOAN_TERM_S)
 
--- a/src/hawthornmast/limits/tests/allowance_schedules.py
+++ b/src/hawthornmast/limits/tests/allowance_schedules.py
@@ -84,6 +84,10 @@
             z for z, n in enumerate(schedule.zones) for _ in range(n)
         ]
         self._members = range(len(self._zone_of))
+        self._zone_peers = [
+            [m for m in self._members if m != n and self._zone_of[m] == zone]
+            for n, zone in enumerate(self._zone_of)
+        ]
         self._ledgers = {m: self._make_ledger() for m in self._members}
         self._heard = {
             m: dict.fromkeys(self._peers(m), self.now) for m in self._members
@@ -180,12 +184,7 @@
         )
 
     def _peers(self, member: int) -> list[int]:
-        zone = self._zone_of[member]
-        return [
-            m
-            for m in self._members
-            if self._zone_of[m] == zone and m != member
-        ]
+        return self._zone_peers[member]
 
     def _apply_fault(self, fault: Fault, begins: bool) -> None:
         member = fault.member % len(self._zone_of)
@@ -214,7 +213,7 @@
                     heard[peer] = self._heard[peer][member] = self.now
 
     def _linked(self, sender: int, receiver: int) -> bool:
-        return not any(
+        return not self._cut or not any(
             (sender in part) != (receiver in part)
             and (both_ways or sender in part)
             for part, both_ways in self._cut
