--- a/src/hawthornmast/limits/__init__.py
+++ b/src/hawthornmast/limits/__init__.py
@@ -6,11 +6,11 @@
 from hawthornmast.limits.allocator import SlotAllocator
 from hawthornmast.limits.allowances import Allowance
 from hawthornmast.limits.allowances import AllowanceLedger
-from hawthornmast.limits.allowances import HolderPosition
 from hawthornmast.limits.budget import RetryBudget
 from hawthornmast.limits.coverage import Coverage
 from hawthornmast.limits.dispatcher import Dispatcher
 from hawthornmast.limits.division import divide_statically
+from hawthornmast.limits.holders import HolderPosition
 from hawthornmast.limits.loans import Loan
 from hawthornmast.limits.loans import LoanRequest
 from hawthornmast.limits.messages import SlotDemand
--- a/src/hawthornmast/limits/tests/allowance_schedules.py
+++ b/src/hawthornmast/limits/tests/allowance_schedules.py
@@ -14,7 +14,7 @@
 
 from hawthornmast.limits.allowances import Allowance
 from hawthornmast.limits.allowances import AllowanceLedger
-from hawthornmast.limits.allowances import HolderPosition
+from hawthornmast.limits.holders import HolderPosition
 from hawthornmast.limits.loans import LoanRequest
 
 WINDOW_S = 5.0
--- a/src/hawthornmast/limits/tests/test_ledger.py
+++ b/src/hawthornmast/limits/tests/test_ledger.py
@@ -4,10 +4,10 @@
 
 from hawthornmast.limits.allowances import Allowance
 from hawthornmast.limits.allowances import AllowanceLedger
-from hawthornmast.limits.allowances import HolderPosition
 from hawthornmast.limits.allowances import MAX_GAP_S
-from hawthornmast.limits.allowances import RESERVE_FRACTION
 from hawthornmast.limits.allowances import SETTLE_S
+from hawthornmast.limits.holders import HolderPosition
+from hawthornmast.limits.holders import RESERVE_FRACTION
 from hawthornmast.limits.loans import Loan
 from hawthornmast.limits.loans import LOAN_TERM_S
 from hawthornmast.limits.loans import LoanRequest
