--- a/src/hawthornmast/gateway/exposition.py
+++ b/src/hawthornmast/gateway/exposition.py
@@ -25,6 +25,8 @@
     """Return the metrics of a member in the Prometheus text format."""
     registry = CollectorRegistry(auto_describe=False)
     registry.register(_MemberCollector(metrics))
+    for make_collector in metrics.make_collectors:
+        registry.register(make_collector())
     return generate_latest(registry)
 
 
--- a/src/hawthornmast/gateway/hedging.py
+++ b/src/hawthornmast/gateway/hedging.py
@@ -252,6 +252,7 @@
             context.entry,
             deadline=context.deadline,
             exclude=context.excluded_ids | {upstream.upstream_id},
+            team=context.team.name if context.team is not None else "",
         )
         if waiter.outcome is None:
             dispatcher.cancel(waiter)
--- a/src/hawthornmast/gateway/metrics.py
+++ b/src/hawthornmast/gateway/metrics.py
@@ -8,11 +8,15 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import time
+from typing import TYPE_CHECKING
 
 import attrs
 
 from hawthornmast.common import Outcome
 
+if TYPE_CHECKING:
+    from prometheus_client.registry import Collector
+
 LATENCY_BUCKETS_S = (
     0.005,
     0.025,
@@ -84,6 +88,8 @@
         Refused input of clients, by kind.
     gauges
         Values that are read at each scrape.
+    make_collectors
+        Functions that return further collectors, called at each scrape.
     """
 
     def __init__(self) -> None:
@@ -92,6 +98,7 @@
         self.team_requests: dict[Labels, Count] = {}
         self.bad_input: dict[Labels, Count] = {}
         self.gauges: list[Gauge] = []
+        self.make_collectors: list[Callable[[], Collector]] = []
 
     def count_request(
         self, route: str, outcome: Outcome, status: int, latency_s: float
