--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -214,7 +214,7 @@
 
 SMALL_CHUNK_STREAMS = 120
 
-SERVED_WITHIN_S = 1.5
+SERVED_WITHIN_S = 0.25
 """Time in which a request is served beside the streams."""
 
 
