Send no 100 Continue within an earlier response

What callers saw: a pipelined request with Expect and without a body made the member write "100 Continue" while an earlier response was on its way; as a stream it got into that response's body (review, reproduced).

Cause: h11 waits for a 100 also without a declared body, and only bodies were put off until their turn. Bodies of refused requests were read as well.

Change: no 100 without a body, no body read after a refusal. A descriptor that can't be watched is logged and read in its turn. Requests don't run early while others wait for slots, since their slots are held until their turn.

Measured: test_no_100_within_an_earlier_response fails before, passes now.

--- a/src/hawthornmast/forwarding/reader.py
+++ b/src/hawthornmast/forwarding/reader.py
@@ -179,7 +179,7 @@
             # A request without a body is checked when it runs.
             if request.has_body:
                 turn.refusal = self._check_before_body(request)
-                if ahead_bytes is not None:
+                if turn.refusal is None and ahead_bytes is not None:
                     turn.body_pending = self._must_wait(request, ahead_bytes)
             if turn.refusal is None and not turn.body_pending:
                 self.deadline = request.received_at + limits.body_s
@@ -269,7 +269,9 @@
 
     async def _read_body(self, turn: Turn, request: ClientRequest) -> None:
         parser = turn.parser
-        if parser.they_are_waiting_for_100_continue:
+        # A request without a body needs no 100, which could end up within the
+        # response to an earlier request.
+        if request.has_body and parser.they_are_waiting_for_100_continue:
             await self._writer.send_continue(parser)
         body = bytearray()
         while True:
--- a/src/hawthornmast/forwarding/server.py
+++ b/src/hawthornmast/forwarding/server.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import errno
 import itertools
 import logging
@@ -373,13 +374,18 @@
         if fileno not in self._watched:
             return
         try:
-            self._epoll.modify(fileno, _INPUT_EVENTS)
-        except FileNotFoundError:
-            self._epoll.register(fileno, _INPUT_EVENTS)
+            try:
+                self._epoll.modify(fileno, _INPUT_EVENTS)
+            except FileNotFoundError:
+                self._epoll.register(fileno, _INPUT_EVENTS)
+        except OSError as error:
+            # Without a watch, further requests are read in their turn.
+            _log.warning("event=watch-failed errno=%s", error.errno)
 
     def unwatch(self, fileno: int) -> None:
         """Stop watching a connection."""
         self._watched.pop(fileno, None)
         if self.reads_ahead:
             # Input is left to the connection itself until the next watch.
-            self._epoll.modify(fileno, select.EPOLLONESHOT)
+            with contextlib.suppress(FileNotFoundError):
+                self._epoll.modify(fileno, select.EPOLLONESHOT)
--- a/src/hawthornmast/forwarding/tests/test_pipelining.py
+++ b/src/hawthornmast/forwarding/tests/test_pipelining.py
@@ -195,6 +195,31 @@
         run_mocked(run)
 
 
+class TestExpectation:
+    def test_no_100_within_an_earlier_response(self):
+        # Guards against "100 Continue" in the middle of a response, which its
+        # client would take for a part of the body.
+        async def run():
+            async with run_memory_server() as (server, nursery):
+                client = server.connect(nursery)
+                await client.send(
+                    make_request("/stream/a/100")
+                    + make_request(
+                        "/read/b/10", headers="Expect: 100-continue\r\n"
+                    )
+                )
+                await trio.sleep(1.0)
+                data = b""
+                with trio.move_on_after(0.5):
+                    while piece := await client.recv(65_536):
+                        data += piece
+                assert b"HTTP/1.1 100" not in data
+                assert data.count(b"HTTP/1.1 200") == 2
+                client.close()
+
+        run_mocked(run)
+
+
 class TestBadInput:
     @pytest.mark.parametrize("count", range(5))
     def test_requests_before_bad_input_are_answered_first(self, count):
--- a/src/hawthornmast/gateway/forwarder.py
+++ b/src/hawthornmast/gateway/forwarder.py
@@ -138,6 +138,7 @@
         self.hedges = HedgedAttempts(
             attempt=self._attempt,
             send=self._send,
+            is_authorized=self._is_authorized,
             recorder=self._recorder,
             clock=clock,
         )
@@ -156,12 +157,23 @@
         return self._credit.check(found.team, request, found.route)
 
     def may_run_early(self, request: ClientRequest) -> bool:
-        """Return whether a request may run ahead of its turn."""
+        """Return whether a request may run ahead of its turn.
+
+        While requests wait for slots it may not: a long response would hold
+        its slot until its turn, and the request before it could be the one
+        that waits for a slot.
+        """
         configuration = self._provider.configuration
         if configuration is None:
             return False
         route = configuration.find_route(request.service, request.target)
-        return route is not None and route.idempotent
+        if route is None or not route.idempotent:
+            return False
+        states = [self._services.find(item.service) for item in route.targets]
+        return not any(
+            state is not None and state.dispatcher.count_waiting()
+            for state in states
+        )
 
     def _authorize(
         self, request: ClientRequest
@@ -361,6 +373,16 @@
             )
             admission.release()
 
+    def _is_authorized(self, context: RequestContext) -> bool:
+        """Return whether the key of a request is still valid."""
+        configuration = self._provider.configuration
+        return (
+            configuration is not None
+            and assign_team(
+                configuration, context.route, context.request
+            ).is_ok()
+        )
+
     def _refuse_withdrawn_key(
         self, context: RequestContext
     ) -> ClientResponse | None:
@@ -465,6 +487,9 @@
             if not exchange.complete:
                 if context.is_hedge:
                     return None
+                if context.attempt_scope.cancel_called:
+                    # The second attempt has just succeeded.
+                    return None
                 context.end_hedge()
                 if context.request.is_http10:
                     return build_error_response(
--- a/src/hawthornmast/gateway/hedging.py
+++ b/src/hawthornmast/gateway/hedging.py
@@ -161,6 +161,8 @@
         answer, or None if another attempt is to be made.
     send
         Makes one attempt with a slot that was admitted.
+    is_authorized
+        Returns whether the key of a request is still valid.
     recorder
         Records what late attempts show about their upstreams.
     clock
@@ -179,9 +181,11 @@
         send: Callable[
             [RequestContext, Admission], Awaitable[ClientResponse | None]
         ],
+        is_authorized: Callable[[RequestContext], bool],
         recorder: EvidenceRecorder,
         clock: Callable[[], float],
     ) -> None:
+        self._is_authorized = is_authorized
         self._attempt = attempt
         self._send = send
         self._clock = clock
@@ -201,6 +205,7 @@
 
         Return the answer, or None if another attempt is to be made.
         """
+        answer: ClientResponse | None = None
         try:
             with trio.CancelScope() as context.attempt_scope:
                 answer = await self._attempt(context)
@@ -215,15 +220,17 @@
             await hedge.done.wait()
             if hedge.succeeded:
                 return hedge.answer
-            return _combine_failures(answer, hedge)
+            return combine_failures(context, answer, hedge)
         finally:
             context.end_hedge()
 
     def _start_hedge(
         self, context: RequestContext, upstream: Upstream
     ) -> None:
-        if self._nursery is None or not is_hedge_allowed(
-            context, self._clock()
+        if (
+            self._nursery is None
+            or not is_hedge_allowed(context, self._clock())
+            or not self._is_authorized(context)
         ):
             return
         admission = self._admit(context, upstream)
@@ -274,20 +281,23 @@
             hedge.done.set()
 
 
-def _combine_failures(
-    answer: ClientResponse | None, hedge: Hedge
+def combine_failures(
+    context: RequestContext, answer: ClientResponse | None, hedge: Hedge
 ) -> ClientResponse | None:
-    """Return the answer after two attempts without a success.
+    """Return the answer after two attempts without a success, if any.
 
     It says that the request did not run only if neither attempt may have run
     it.
     """
-    if (
-        answer is not None
-        and answer.outcome is Outcome.NOT_RUN
-        and hedge.context.progress.started
-    ):
-        return build_error_response(
-            502, "upstream-failed", outcome=Outcome.UNKNOWN
-        )
-    return answer
+    if not hedge.context.progress.started:
+        return answer
+    unknown = build_error_response(
+        502, "upstream-failed", outcome=Outcome.UNKNOWN
+    )
+    if answer is None:
+        last = context.last_answer
+        if last is None or last.outcome is Outcome.NOT_RUN:
+            # The answer if no further attempt is possible.
+            context.last_answer = unknown
+        return None
+    return unknown if answer.outcome is Outcome.NOT_RUN else answer
--- a/src/hawthornmast/gateway/tests/test_hedging.py
+++ b/src/hawthornmast/gateway/tests/test_hedging.py
@@ -6,11 +6,15 @@
 import pytest
 import trio
 
+from hawthornmast.common import Outcome
 from hawthornmast.forwarding.exchange import Progress
+from hawthornmast.forwarding.messages import build_error_response
 from hawthornmast.forwarding.messages import ClientRequest
 from hawthornmast.forwarding.messages import Trace
+from hawthornmast.gateway.attempts import Hedge
 from hawthornmast.gateway.attempts import RequestContext
 from hawthornmast.gateway.hedging import AttemptMonitor
+from hawthornmast.gateway.hedging import combine_failures
 from hawthornmast.gateway.hedging import is_hedge_allowed
 from hawthornmast.gateway.hedging import MIN_LATENCY_SAMPLES
 from hawthornmast.gateway.tests.support import make_configuration
@@ -97,6 +101,39 @@
         assert not is_hedge_allowed(context, trio.current_time())
 
 
+class TestCombineFailures:
+    """Guards against "not run" when the second attempt may have run."""
+
+    def make_hedge(self, context: RequestContext, *, started: bool) -> Hedge:
+        """Return a second attempt that failed."""
+        return Hedge(
+            context=attrs.evolve(
+                context, progress=Progress(started=started), is_hedge=True
+            )
+        )
+
+    async def test_first_attempt_was_rejected(self, autojump_clock):
+        context = make_context()
+        hedge = self.make_hedge(context, started=True)
+        refusal = build_error_response(503, "rejected")
+        combined = combine_failures(context, refusal, hedge)
+        assert combined is not None
+        assert (combined.status, combined.outcome) == (502, Outcome.UNKNOWN)
+
+    async def test_first_attempt_is_to_be_repeated(self, autojump_clock):
+        context = make_context()
+        context.last_answer = build_error_response(503, "rejected")
+        hedge = self.make_hedge(context, started=True)
+        assert combine_failures(context, None, hedge) is None
+        assert context.last_answer.outcome is Outcome.UNKNOWN
+
+    async def test_nothing_was_sent_by_the_second(self, autojump_clock):
+        context = make_context()
+        hedge = self.make_hedge(context, started=False)
+        refusal = build_error_response(503, "rejected")
+        assert combine_failures(context, refusal, hedge) is refusal
+
+
 class TestAttemptMonitor:
     """Reports an attempt once for each limit that it exceeds."""
 
