Don't go back to what an earlier era or a dropped history had

Cause (review, shown with the real classes): revisions of the former era counted as writes in the new one, so that a member that was away brought an upstream that had left back for all. A lower version with other content was taken at once, also when it had been replaced before any read. Members that differed in what an upstream had announced never compared it. A confirmation could change entries without the services hearing of it.

The digest covers what was announced; changes are reported at the next check.

--- a/src/hawthornmast/gateway/versions.py
+++ b/src/hawthornmast/gateway/versions.py
@@ -122,7 +122,7 @@
                 order = EraRevision(0, version)
                 self._log_waiting(published, order)
                 return order
-            if former and era > self.order.era:
+            if version == self.version and era > self.order.era:
                 # The version was assigned again.
                 return EraRevision(era, version)
         order = EraRevision(min(self.order.era, era), version)
--- a/src/hawthornmast/membership/departures.py
+++ b/src/hawthornmast/membership/departures.py
@@ -195,12 +195,16 @@
             departure = Departure(
                 era=int(era), announced=bool(announced), sequence=int(sequence)
             )
-            if (
-                departure.era < self._eras.era
-                and process not in self._departures
-                and not self._was_released(process)
-            ):
-                self._remember(process, departure)
+            if departure.era >= self._eras.era or self._was_released(process):
+                continue
+            known = self._departures.get(process)
+            if known is not None:
+                departure = attrs.evolve(
+                    known,
+                    announced=known.announced or departure.announced,
+                    sequence=max(known.sequence, departure.sequence),
+                )
+            self._remember(process, departure)
 
     def _remember(self, process: Process, departure: Departure) -> None:
         self._departures.pop(process, None)
@@ -246,7 +250,13 @@
         if not self._held:
             self.digest = b""
             return
-        packed = msgpack.packb(sorted(self._held))
+        # Members that differ in what they know of a departure compare it.
+        packed = msgpack.packb(
+            sorted(
+                [*process, departure.announced, departure.sequence]
+                for process, (departure, _) in self._held.items()
+            )
+        )
         self.digest = hashlib.blake2b(packed, digest_size=4).digest()
 
 
--- a/src/hawthornmast/membership/listing.py
+++ b/src/hawthornmast/membership/listing.py
@@ -15,6 +15,8 @@
 from collections.abc import Set
 from typing import Any
 
+import attrs
+
 from hawthornmast.common import EraRevision
 from hawthornmast.membership.departures import DepartureLog
 from hawthornmast.membership.departures import find_departed
@@ -73,6 +75,8 @@
         self.gap_s = 0.0
         self._retained_until: dict[str, float] = {}
         self._era_began_at = -1e9
+        # Whether a confirmation changed entries without any caller knowing.
+        self._is_changed = False
 
     @property
     def revision(self) -> int:
@@ -97,7 +101,7 @@
         self._advance(position)
         self.confirmed_at = self._clock()
         if is_new_era:
-            self.refresh()
+            self._is_changed = self.refresh() or self._is_changed
         return True
 
     def apply_snapshot(
@@ -138,8 +142,12 @@
             Era of the platform in which it was read.
         """
         revision, entries = encoded
-        decoded = [self._decode_entry(item) for item in entries]
         position = EraRevision(era, int(revision))
+        is_same_era = position.era == self.position.era
+        decoded = [
+            self._decode_entry(item) if is_same_era else decode_entry(item)
+            for item in entries
+        ]
         if self._is_older(position):
             return False
         listed = {item.upstream.upstream_id: item for item in decoded}
@@ -169,7 +177,8 @@
             item = self.entries.pop(key)
             self.departures.record(item, self.position.era, announced=False)
         released = self.departures.has_due(self.confirmed_at)
-        return (released and self.refresh()) or bool(expired)
+        is_changed, self._is_changed = self._is_changed, False
+        return (released and self.refresh()) or bool(expired) or is_changed
 
     def refresh(self) -> bool:
         """Apply what has been learned of departures since the last list.
@@ -195,6 +204,11 @@
     def _advance(self, position: EraRevision) -> None:
         if self.is_loaded and position.era > self.position.era:
             self._era_began_at = self._clock()
+            # Revisions of the former era would look like writes in this one.
+            self._listed = {
+                name: attrs.evolve(item, revision=0)
+                for name, item in self._listed.items()
+            }
         self.eras.learn(position.era, origin="list")
         self.position = position
 
--- a/src/hawthornmast/membership/tests/test_departures.py
+++ b/src/hawthornmast/membership/tests/test_departures.py
@@ -210,6 +210,51 @@
         assert not find_live(listing)
 
 
+class TestRevisionsOfAnEarlierEra:
+    """They are no evidence of a write in the present one."""
+
+    @pytest.mark.parametrize("how", ["confirmed", "listed"])
+    def test_upstream_that_left_stays_out_of_use(
+        self, clock: ManualClock, how: str
+    ) -> None:
+        # Guards against a member that was away while an upstream left, and
+        # that brings it back for the whole fleet.
+        away, reader = (
+            UpstreamListing(clock=clock),
+            UpstreamListing(clock=clock),
+        )
+        for item in (away, reader):
+            apply(
+                item,
+                2,
+                155,
+                make_upstream("p", revision=150),
+                make_upstream("q"),
+            )
+        apply(reader, 2, 160, make_upstream("q"))
+        more = [] if how == "confirmed" else [make_upstream("r")]
+        apply(
+            reader,
+            3,
+            148,
+            make_upstream("p", revision=145),
+            make_upstream("q"),
+            *more,
+        )
+        assert "p" not in find_live(reader)
+        away.eras.learn(3, origin="reader")
+        away.eras.learn_first_revision(148)
+        if how == "confirmed":
+            assert away.confirm(148, reader.digest, era=3)
+        away.departures.merge(reader.departures.encode())
+        away.apply_peer_list(reader.encode(), era=3)
+        away.refresh()
+        assert "p" not in find_live(away)
+        reader.departures.merge(away.departures.encode())
+        reader.refresh()
+        assert "p" not in find_live(reader)
+
+
 class TestExchange:
     """Members tell each other what they hold back and release."""
 
