Let the loans of a former holder end

A silent holder was asked first again and again: 56 of 126 requests refused at a fifth of the rate. Requests that arrived together were refused beyond eight although the burst had room for them.

Change: a loan is renewed only from an own share with a majority; holders that don't answer count as having nothing more; as many requests may wait as rate and burst serve. The schedules no longer name members that are down as holders.

--- a/src/hawthornmast/gateway/credit.py
+++ b/src/hawthornmast/gateway/credit.py
@@ -157,8 +157,10 @@
             self.counts[team.name].admitted += 1
             return None
         wait_s = self._limit_wait(request)
-        # In the time, the fleet's whole rate serves no more than these.
-        limit = max(MIN_WAITING, math.ceil(team.rate_per_s * wait_s))
+        # In the time, the fleet's whole rate and burst serve no more.
+        limit = max(
+            MIN_WAITING, math.ceil(team.burst + team.rate_per_s * wait_s)
+        )
         if queue is not None and len(queue) >= limit:
             return self._refuse(team, request, route)
         if await self._wait(name, wait_s):
--- a/src/hawthornmast/limits/allowances.py
+++ b/src/hawthornmast/limits/allowances.py
@@ -162,6 +162,17 @@
         self._settles_until = -math.inf
         self._last_number = 0
 
+    def _limit_held(self, account: _Account, held: float, now: float) -> float:
+        """Return how much of a lent share this member may lend on.
+
+        A former holder, or one without a majority, lets its loans end;
+        otherwise its successor would lend the same share as well.
+        """
+        if not self._position.has_majority:
+            return 0.0
+        others = account.lent.sum_up(now) - held
+        return max(0.0, min(held, self._own_share - others))
+
     @property
     def is_settling(self) -> bool:
         """Whether this member's own share isn't decided yet."""
@@ -304,7 +315,7 @@
         held = account.lent.share_of(borrower, now)
         spare = self._find_spare(account, now)
         wanted = request.rate_per_s / account.allowance.rate_per_s
-        share = min(wanted, held + spare)
+        share = min(wanted, self._limit_held(account, held, now) + spare)
         added = max(0.0, share - held)
         tokens = 0.0
         if added > _EPSILON:
--- a/src/hawthornmast/limits/loans.py
+++ b/src/hawthornmast/limits/loans.py
@@ -258,6 +258,13 @@
             if the lender hasn't just named its spare.
         """
         record = self._lenders.get(lender)
+        if (
+            record is not None
+            and record.number
+            and (record.unanswered or now - record.sent_at >= RESEND_S)
+        ):
+            # It doesn't answer, so that others are asked first.
+            return record.terms.sum_up(now)
         if record is None or now >= record.spare_until:
             return limit
         return min(limit, record.terms.sum_up(now) + record.spare)
--- a/src/hawthornmast/limits/tests/allowance_schedules.py
+++ b/src/hawthornmast/limits/tests/allowance_schedules.py
@@ -251,7 +251,10 @@
             in_contact=len(live) + 1,
             known=len(heard) + 1,
             holders=tuple(
-                str(m) for m in sorted(self._representatives - {member})
+                str(m)
+                for m in sorted(
+                    self._representatives - {member} - set(self._down)
+                )
             ),
         )
         self._send(member, ledger.step(position))
--- a/src/hawthornmast/limits/tests/test_ledger.py
+++ b/src/hawthornmast/limits/tests/test_ledger.py
@@ -62,6 +62,32 @@
     )
 
 
+class TestFormerHolder:
+    """Guards against one share that two members lend at the same time."""
+
+    @pytest.mark.parametrize(
+        "position",
+        [
+            OTHER,
+            HolderPosition(
+                zones=3, is_representative=True, in_contact=1, known=3
+            ),
+        ],
+        ids=["replaced", "without-majority"],
+    )
+    def test_loans_are_not_renewed(self, position: HolderPosition) -> None:
+        member = Member(HOLDER)
+        member.run(1.0)
+        first = member.ledger.receive_request("b", make_loan_request(1))
+        assert first is not None and first.share > 0.0
+        member.position = position
+        member.run(STEP_S)
+        again = member.ledger.receive_request(
+            "b", make_loan_request(2, held=first.share)
+        )
+        assert again is None or again.share == 0.0
+
+
 class TestOwnShare:
     """Guards against members that hold a share without being entitled."""
 
