--- a/src/hawthornmast/gateway/tests/test_hedging.py
+++ b/src/hawthornmast/gateway/tests/test_hedging.py
@@ -11,10 +11,12 @@
 from hawthornmast.forwarding.messages import build_error_response
 from hawthornmast.forwarding.messages import ClientRequest
 from hawthornmast.forwarding.messages import Trace
+from hawthornmast.gateway.attempts import EvidenceRecorder
 from hawthornmast.gateway.attempts import Hedge
 from hawthornmast.gateway.attempts import RequestContext
 from hawthornmast.gateway.hedging import AttemptMonitor
 from hawthornmast.gateway.hedging import combine_failures
+from hawthornmast.gateway.hedging import HedgedAttempts
 from hawthornmast.gateway.hedging import is_hedge_allowed
 from hawthornmast.gateway.hedging import MIN_LATENCY_SAMPLES
 from hawthornmast.gateway.tests.support import make_configuration
@@ -101,6 +103,41 @@
         assert not is_hedge_allowed(context, trio.current_time())
 
 
+class TestHedgedAttempts:
+    @pytest.mark.parametrize("is_authorized", [True, False])
+    async def test_key_is_checked_before_a_second_attempt(
+        self, is_authorized: bool, autojump_clock
+    ):
+        # Guards against a second attempt with a key that was withdrawn since
+        # the first one.
+        sent: list[RequestContext] = []
+
+        async def attempt(context: RequestContext) -> None:
+            raise AssertionError("not called")
+
+        async def send(context: RequestContext, admission: Any) -> None:
+            sent.append(context)
+            admission.release()
+
+        hedges = HedgedAttempts(
+            attempt=attempt,
+            send=send,
+            is_authorized=lambda context: is_authorized,
+            recorder=EvidenceRecorder(
+                None,  # type: ignore[arg-type]
+                clock=trio.current_time,
+            ),
+            clock=trio.current_time,
+        )
+        context = make_context()
+        context.state.budget.slack = 10.0
+        upstream = context.state.pool.members["u1"].upstream
+        async with trio.open_nursery() as nursery:
+            hedges.start(nursery)
+            hedges._start_hedge(context, upstream)
+        assert len(sent) == is_authorized
+
+
 class TestCombineFailures:
     """Guards against "not run" when the second attempt may have run."""
 
